--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Every target does its own set-up in .venv; `make clean` removes it.
+
+PYTHON ?= python3.11
+BIN := .venv/bin
+PACKAGES := core proxy standins ctl
+MANIFESTS := $(PACKAGES:%=packages/zinniastand-%/pyproject.toml)
+
+.PHONY: demo test fuzz bench capacity plants check format lint types clean
+
+.venv/installed: requirements-dev.txt constraints.txt $(MANIFESTS)
+	$(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		-c constraints.txt -r requirements-dev.txt \
+		$(PACKAGES:%=-e packages/zinniastand-%)
+	touch $@
+
+demo: .venv/installed
+	$(BIN)/zinniactl demo
+
+test: .venv/installed
+	$(BIN)/python -m pytest
+
+format: .venv/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: .venv/installed
+	$(BIN)/pyright
+
+check: lint types test
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -0,0 +1,417 @@
+"""The life of one request: claim, choice, attempts, and the one answer.
+
+The plan of a request is a small state machine without I/O. It says "not run" only
+with proof: no attempt was handed to a connection, or every attempt that was is known
+to have been refused before it started.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+from . import claim_ledger, claim_records, claimer, outcomes, services
+
+MAX_ATTEMPTS = 4
+REFUSED_PAUSE = 0.25
+OUTAGE_PAUSE = 5.0
+
+
+class Freshness(enum.StrEnum):
+    """Which connections may carry an attempt."""
+
+    ANY = "any"
+    """A pooled connection is fine: a lost request can be sent again."""
+
+    PROVED = "proved"
+    """New, or answered moments ago: nothing may be lost in a silent one."""
+
+    NEW = "new"
+    """A pooled one has just failed; only a new one tells whether the target did."""
+
+
+class Failure(enum.StrEnum):
+    """How an attempt ended without a whole answer."""
+
+    NOT_HANDED = "not-handed"
+    """No connection could be made: the target saw nothing."""
+
+    REFUSED = "refused"
+    """The target declared that it refused before starting."""
+
+    SILENT = "silent"
+    """Handed over; then the connection died or gave nothing back."""
+
+    CUT = "cut"
+    """The answer was incomplete or not to this request."""
+
+    OVERDUE = "overdue"
+    """No answer by the deadline."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Action: send the request to a target."""
+
+    attempt: int
+    """Number to report the result under."""
+
+    target: services.Target
+    """Where to."""
+
+    freshness: Freshness
+    """Which connections may carry it."""
+
+    deadline: float
+    """When the answer is no longer wanted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Action: the answer of an attempt is no longer wanted."""
+
+    attempt: int
+    """Which."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeekClaim:
+    """Action: seek the claim on the key before anything is sent."""
+
+    claim: claim_records.Claim
+    """The claim."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settle:
+    """Action: put what became of the claim on the log."""
+
+    record: claim_records.Record
+    """The outcome."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Action: give the caller the whole answer of an attempt."""
+
+    attempt: int
+    """Which."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Action: give the caller an answer of the proxy's own."""
+
+    refusal: outcomes.Refusal
+    """What to say."""
+
+
+Action = Send | Cancel | SeekClaim | Settle | Relay | Refuse
+
+
+class Chooser(typing.Protocol):
+    """Whoever picks targets and rations retries."""
+
+    def choose(
+        self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
+    ) -> services.Target | None:
+        """Return a target for the next attempt, or None where none may have it."""
+        ...
+
+    def may_retry(self, now: float) -> bool:
+        """Return whether the retry budget allows one more attempt, and spend it."""
+        ...
+
+    def may_hedge(self, now: float) -> bool:
+        """Return whether the hedge budget allows one more, and spend it."""
+        ...
+
+    def find_hedge_time(
+        self, kind: services.Kind, target: services.Target, now: float
+    ) -> float | None:
+        """Return when a second attempt is worth starting, or None."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Live:
+    """An attempt without a result yet."""
+
+    target: services.Target
+    freshness: Freshness
+    hedge_at: float | None
+
+
+class Plan:
+    """The plan of one request.
+
+    Parameters
+    ----------
+    kind : services.Kind
+        Kind of work.
+    deadline : float
+        When the caller no longer waits, in unix seconds like every `now`.
+    chooser : Chooser
+        Picks targets.
+    claim : claim_records.Claim or None
+        The claim to seek; needed for at-most-once work.
+    """
+
+    def __init__(
+        self,
+        kind: services.Kind,
+        deadline: float,
+        chooser: Chooser,
+        claim: claim_records.Claim | None = None,
+    ) -> None:
+        self._kind = kind
+        self._deadline = deadline
+        self._chooser = chooser
+        self._claim = claim
+        self._start_deadline = deadline if claim is None else claim.start_deadline
+        self._live: dict[int, _Live] = {}
+        self._excluded: set[str] = set()
+        self._attempts = 0
+        self._may_have_run = False
+        self._claim_pending = False
+        self._last_failure: Failure | None = None
+        self._ended = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the caller has been answered."""
+        return self._ended
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some attempt may have started the work."""
+        return self._may_have_run or bool(self._live)
+
+    def start(self, now: float) -> list[Action]:
+        """Begin: seek the claim, or send at once where none is needed."""
+        if self._kind.work is services.Work.IDEMPOTENT:
+            return self._send_next(now)
+        if self._claim is None:
+            return self._refuse(outcomes.Reason.KEY_MISSING)
+        self._claim_pending = True
+        return [SeekClaim(self._claim)]
+
+    def find_wake_time(self) -> float:
+        """Return when `wake` is due: a hedge, the start deadline or the deadline."""
+        if self._claim_pending:
+            return min(self._start_deadline, self._deadline)
+        times = [live.hedge_at for live in self._live.values() if live.hedge_at]
+        return min([self._deadline, *times])
+
+    def take_grant(self, now: float) -> list[Action]:
+        """Take in that the claim is ours."""
+        if self._ended or not self._claim_pending:
+            return []
+        self._claim_pending = False
+        return self._send_next(now)
+
+    def take_denial(self, denied: claimer.Denied, now: float) -> list[Action]:
+        """Take in that the claim is not ours."""
+        if self._ended or not self._claim_pending:
+            return []
+        self._claim_pending = False
+        match denied.reason:
+            case claimer.Denial.OWNED:
+                return self._refuse_owned(denied.entry, now)
+            case claimer.Denial.KEY_REUSED:
+                return self._refuse(outcomes.Reason.KEY_REUSED)
+            case claimer.Denial.LOG_DOWN:
+                return self._refuse(outcomes.Reason.LOG_DOWN, now + OUTAGE_PAUSE)
+            case claimer.Denial.OVERLOADED:
+                return self._refuse(outcomes.Reason.OVERLOADED, now + REFUSED_PAUSE)
+            case claimer.Denial.UNSETTLED | claimer.Denial.LAPSED:
+                return self._give_up_claim(now)
+
+    def take_answer(self, attempt: int, status: int, now: float) -> list[Action]:
+        """Take in a whole answer to this request."""
+        if self._live.pop(attempt, None) is None or self._ended:
+            return []
+        self._ended = True
+        actions: list[Action] = [Relay(attempt), *self._cancel_live()]
+        if self._claim is not None:
+            done = claim_records.Done(
+                self._claim.key_digest, self._claim.claim_id, status
+            )
+            actions.append(Settle(done))
+        return actions
+
+    def take_failure(self, attempt: int, failure: Failure, now: float) -> list[Action]:
+        """Take in that an attempt gave no whole answer."""
+        live = self._live.pop(attempt, None)
+        if live is None or self._ended:
+            return []
+        self._last_failure = failure
+        if failure not in (Failure.NOT_HANDED, Failure.REFUSED):
+            self._may_have_run = True
+        if self._live:
+            return []
+        if failure is Failure.SILENT and live.freshness is Freshness.ANY:
+            return self._repeat_on_new(live, now)
+        self._excluded.add(live.target.name)
+        if self._may_run_again() and self._may_attempt(now):
+            return self._send_next(now)
+        return self._finish_without_answer(now)
+
+    def wake(self, now: float) -> list[Action]:
+        """Act on the time: hedge, or give up at the deadline."""
+        if self._ended:
+            return []
+        if self._claim_pending and now >= min(self._start_deadline, self._deadline):
+            self._claim_pending = False
+            return self._give_up_claim(now)
+        if now >= self._deadline:
+            return self._finish_without_answer(now)
+        return self._hedge(now)
+
+    def abandon(self, now: float) -> list[Action]:
+        """The caller went away: stop what is under way and settle the claim."""
+        if self._ended:
+            return []
+        return [
+            action
+            for action in self._finish_without_answer(now)
+            if not isinstance(action, Refuse)
+        ]
+
+    def _send_next(self, now: float) -> list[Action]:
+        # A holder that was paused wakes up here. Its claim is on the log, but it may
+        # not start any more: callers were told when the work can no longer begin.
+        if self._claim is not None and now >= self._start_deadline:
+            return self._finish_without_answer(now)
+        if now >= self._deadline:
+            return self._finish_without_answer(now)
+        target = self._chooser.choose(self._kind, self._excluded, now)
+        if target is None:
+            return self._finish_without_answer(now)
+        freshness = Freshness.PROVED if self._claim is not None else Freshness.ANY
+        return [self._send(target, freshness, now)]
+
+    def _send(self, target: services.Target, freshness: Freshness, now: float) -> Send:
+        self._attempts += 1
+        hedge_at = None
+        if self._claim is None:
+            hedge_at = self._chooser.find_hedge_time(self._kind, target, now)
+        self._live[self._attempts] = _Live(target, freshness, hedge_at)
+        return Send(self._attempts, target, freshness, self._deadline)
+
+    def _repeat_on_new(self, live: _Live, now: float) -> list[Action]:
+        """Try the same target on a new connection before blaming it.
+
+        A pooled connection can go silent for good while new ones work. Only a new
+        connection tells the two apart, and costs about a millisecond.
+        """
+        if now >= self._deadline or not self._may_attempt(now):
+            return self._finish_without_answer(now)
+        return [self._send(live.target, Freshness.NEW, now)]
+
+    def _hedge(self, now: float) -> list[Action]:
+        due = [n for n, live in self._live.items() if live.hedge_at is not None]
+        due = [n for n in due if (self._live[n].hedge_at or now) <= now]
+        if not due:
+            return []
+        for number in due:
+            live = self._live[number]
+            self._live[number] = dataclasses.replace(live, hedge_at=None)
+            self._excluded.add(live.target.name)
+        if self._attempts >= MAX_ATTEMPTS or not self._chooser.may_hedge(now):
+            return []
+        target = self._chooser.choose(self._kind, self._excluded, now)
+        if target is None:
+            return []
+        return [self._send(target, Freshness.ANY, now)]
+
+    def _may_attempt(self, now: float) -> bool:
+        return self._attempts < MAX_ATTEMPTS and self._chooser.may_retry(now)
+
+    def _may_run_again(self) -> bool:
+        return self._claim is None or not self._may_have_run
+
+    def _cancel_live(self) -> list[Action]:
+        actions: list[Action] = [Cancel(number) for number in self._live]
+        self._live.clear()
+        return actions
+
+    def _give_up_claim(self, now: float) -> list[Action]:
+        """Refuse without knowing whether the claim stands on the log.
+
+        Nothing was sent, and after this nothing will be, so "not run" is true. The
+        release frees the key for the caller's next try.
+        """
+        release = self._settle_without_answer(ran=False)
+        refusal = self._refuse(outcomes.Reason.CLAIM_LATE, now + REFUSED_PAUSE)
+        return release + refusal
+
+    def _refuse_owned(
+        self, entry: claim_ledger.Entry | None, now: float
+    ) -> list[Action]:
+        if entry is None:
+            # The owner released the key meanwhile: this claim is dead, but the
+            # caller may come again with the same key.
+            return self._refuse(outcomes.Reason.CLAIM_LATE, now + REFUSED_PAUSE)
+        if entry.phase is claim_ledger.Phase.DONE:
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.DONE,
+                outcomes.Reason.KEY_DONE,
+                earlier_status=entry.status,
+            )
+        elif entry.phase is claim_ledger.Phase.UNKNOWN:
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN, outcomes.Reason.KEY_UNKNOWN
+            )
+        elif now < entry.claim.start_deadline + self._kind.time_limit:
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN,
+                outcomes.Reason.KEY_IN_PROGRESS,
+                now + REFUSED_PAUSE,
+            )
+        else:
+            # The holder was lost between its claim and the record of the outcome.
+            refusal = outcomes.Refusal(
+                outcomes.Outcome.UNKNOWN, outcomes.Reason.KEY_UNKNOWN
+            )
+        self._ended = True
+        return [Refuse(refusal)]
+
+    def _refuse(
+        self, reason: outcomes.Reason, retry_at: float | None = None
+    ) -> list[Action]:
+        self._ended = True
+        refusal = outcomes.Refusal(outcomes.Outcome.NOT_RUN, reason, retry_at)
+        return [Refuse(refusal)]
+
+    def _finish_without_answer(self, now: float) -> list[Action]:
+        ran = self.may_have_run
+        self._ended = True
+        actions = self._cancel_live()
+        actions += self._settle_without_answer(ran)
+        outcome = outcomes.Outcome.UNKNOWN if ran else outcomes.Outcome.NOT_RUN
+        reason = self._explain(ran, now)
+        retry_at = None if ran and self._claim is not None else now + REFUSED_PAUSE
+        return [*actions, Refuse(outcomes.Refusal(outcome, reason, retry_at))]
+
+    def _settle_without_answer(self, ran: bool) -> list[Action]:
+        if self._claim is None:
+            return []
+        key, claim_id = self._claim.key_digest, self._claim.claim_id
+        if ran:
+            return [Settle(claim_records.Unknown(key, claim_id))]
+        return [Settle(claim_records.Released(key, claim_id))]
+
+    def _explain(self, ran: bool, now: float) -> outcomes.Reason:
+        if self._last_failure is Failure.CUT:
+            return outcomes.Reason.ANSWER_CUT
+        if ran and now < self._deadline:
+            return outcomes.Reason.ANSWER_LOST
+        if now >= self._deadline:
+            return outcomes.Reason.DEADLINE
+        if self._last_failure is Failure.REFUSED:
+            return outcomes.Reason.REFUSED_BY_TARGETS
+        if self._claim is not None and now >= self._start_deadline:
+            return outcomes.Reason.CLAIM_LATE
+        return outcomes.Reason.NO_TARGET
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/claim_records.py
@@ -0,0 +1,159 @@
+"""Records about at-most-once work, as they stand on the log."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+import expression
+
+from . import codec
+
+MILLISECONDS = 1000
+
+
+class RecordType(enum.IntEnum):
+    """First field of a packed record."""
+
+    CLAIM = 1
+    DONE = 2
+    RELEASED = 3
+    UNKNOWN = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """The right to run one piece of work, sought by appending it."""
+
+    key_digest: bytes
+    """Names the work."""
+
+    claim_id: bytes
+    """Unique; the same claim appended twice counts once."""
+
+    holder: str
+    """VM that may send the work."""
+
+    incarnation: int
+    """Of the holder: a replaced VM is somebody else."""
+
+    start_deadline: float
+    """Unix seconds, whole milliseconds; the work may not start after this."""
+
+    key_made_at: float
+    """Unix seconds; tells when the record may be forgotten."""
+
+    fingerprint: bytes
+    """Digest of the request, so that a key cannot name two requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The work ran, and its answer came back whole."""
+
+    key_digest: bytes
+    """Names the work."""
+
+    claim_id: bytes
+    """Claim under which it ran."""
+
+    status: int
+    """HTTP status of the answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """The claim's work was never sent and never will be."""
+
+    key_digest: bytes
+    """Names the work."""
+
+    claim_id: bytes
+    """Claim that is given up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The work was sent, and no whole answer came."""
+
+    key_digest: bytes
+    """Names the work."""
+
+    claim_id: bytes
+    """Claim under which it was sent."""
+
+
+Record = Claim | Done | Released | Unknown
+
+
+def pack(records: typing.Sequence[Record]) -> bytes:
+    """Return the log entry that carries these records."""
+    return codec.encode([_pack_one(record) for record in records])
+
+
+def unpack(data: bytes) -> expression.Result[tuple[Record, ...], str]:
+    """Return the records of a log entry, or why it cannot be read."""
+    match codec.decode(data):
+        case expression.Result(tag="ok", ok=list(items)):
+            pass
+        case _:
+            return expression.Error("not a list of records")
+    records: list[Record] = []
+    for item in items:
+        record = _unpack_one(item)
+        if record is None:
+            return expression.Error("a record is malformed")
+        records.append(record)
+    return expression.Ok(tuple(records))
+
+
+def _pack_one(record: Record) -> list[object]:
+    match record:
+        case Claim():
+            return [
+                RecordType.CLAIM.value,
+                record.key_digest,
+                record.claim_id,
+                record.holder,
+                record.incarnation,
+                round(record.start_deadline * MILLISECONDS),
+                [round(record.key_made_at * MILLISECONDS), record.fingerprint],
+            ]
+        case Done():
+            kind = RecordType.DONE.value
+            return [kind, record.key_digest, record.claim_id, record.status]
+        case Released():
+            return [RecordType.RELEASED.value, record.key_digest, record.claim_id]
+        case Unknown():
+            return [RecordType.UNKNOWN.value, record.key_digest, record.claim_id]
+
+
+def _unpack_one(item: object) -> Record | None:
+    match item:
+        case [
+            RecordType.CLAIM.value,
+            bytes(key),
+            bytes(claim_id),
+            str(holder),
+            int(incarnation),
+            int(deadline),
+            [int(made_at), bytes(fingerprint)],
+        ]:
+            return Claim(
+                key,
+                claim_id,
+                holder,
+                incarnation,
+                deadline / MILLISECONDS,
+                made_at / MILLISECONDS,
+                fingerprint,
+            )
+        case [RecordType.DONE.value, bytes(key), bytes(claim_id), int(status)]:
+            return Done(key, claim_id, status)
+        case [RecordType.RELEASED.value, bytes(key), bytes(claim_id)]:
+            return Released(key, claim_id)
+        case [RecordType.UNKNOWN.value, bytes(key), bytes(claim_id)]:
+            return Unknown(key, claim_id)
+        case _:
+            return None
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/evidence_exchange.py
@@ -0,0 +1,248 @@
+"""Evidence about targets, pooled by a few VMs and acted on by all."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from . import (
+    control_actions,
+    ejections,
+    evidence_pool,
+    membership,
+    peer_messages,
+    rendezvous,
+    router,
+    timeline,
+)
+
+POOLS_PER_SERVICE = 2
+LEVELS_VALID_FOR = 3.0
+FIRST_LEASE = 20.0
+MOST_LEASE = 320.0
+FLAP_MEMORY = 900.0
+PROPOSAL_PAUSE = 2.0
+NOTICED_SHARE = 0.25
+
+Flood = collections.abc.Callable[
+    [peer_messages.Message, str, float], list[control_actions.Action]
+]
+Actions = list[control_actions.Action]
+Routers = collections.abc.Mapping[str, router.Router]
+
+
+class EvidenceExchange:
+    """The part of the control plane that judges targets together.
+
+    Each service has two VMs that pool its evidence, by rendezvous hashing. They tell
+    the scores to the whole fleet, and the first of them proposes ejections.
+
+    Parameters
+    ----------
+    members : membership.Membership
+        Who is there.
+    ledger : ejections.EjectionLedger
+        Ejections granted so far.
+    events : timeline.Timeline
+        Where events are recorded.
+    flood : callable
+        Makes the actions that tell a message to all neighbours but one.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        ledger: ejections.EjectionLedger,
+        events: timeline.Timeline,
+        flood: Flood,
+    ) -> None:
+        self._members = members
+        self._ledger = ledger
+        self._events = events
+        self._flood = flood
+        self._routers: Routers = {}
+        self._pools: dict[str, evidence_pool.EvidencePool] = {}
+        self._levels_sent: dict[str, dict[str, float]] = {}
+        self._levels_seen: dict[tuple[str, str], int] = {}
+        self._sequence = 0
+        self._proposed_at: dict[tuple[str, str], float] = {}
+        self._doubting: set[str] = set()
+        self._noticed: set[tuple[str, str]] = set()
+
+    def use_routers(self, routers: Routers) -> None:
+        """Name the routers whose health is shared and steered, by service."""
+        self._routers = routers
+
+    def apply_ejections(self, now: float) -> None:
+        """Bring every router up to the ejections in force."""
+        for name, routing in self._routers.items():
+            ejected = self._ledger.list_ejected(routing.service, now)
+            for target in routing.list_ejected() - ejected:
+                kind = timeline.EventKind.READMITTED
+                self._events.record(kind, f"{name}/{target}", "ramping up", now)
+            for target in ejected - routing.list_ejected():
+                # Old evidence must not eject it again the moment it comes back.
+                if name in self._pools:
+                    self._pools[name].forget(target)
+            routing.take_ejected(ejected, now)
+
+    def report(self, now: float) -> Actions:
+        """Send fresh evidence to the VMs that pool it."""
+        actions: Actions = []
+        own = self._members.own
+        observer = evidence_pool.Observer(own.vm, own.data_centre)
+        for name, routing in self._routers.items():
+            items = self._collect(name, routing, now)
+            if not items:
+                continue
+            message = peer_messages.Reports(name, observer, items)
+            for vm in self._pick_pools(name):
+                if vm == own.vm:
+                    self.take_reports(message, now)
+                else:
+                    actions.append(control_actions.Tell(vm, message))
+        return actions
+
+    def take_reports(self, message: peer_messages.Reports, now: float) -> None:
+        """Pool another VM's evidence."""
+        pool = self._find_pool(message.service)
+        if pool is not None:
+            for report in message.items:
+                pool.add(message.observer, report, now)
+
+    def tell_levels(self, now: float) -> Actions:
+        """Tell the fleet the pooled scores that matter."""
+        actions: Actions = []
+        watch = self._members.watch()
+        for service, pool in self._pools.items():
+            least = NOTICED_SHARE * pool.threshold
+            levels = {
+                target: level
+                for target, level in pool.list_levels(watch, now).items()
+                if level >= least
+            }
+            cleared = set(self._levels_sent.get(service, {})) - set(levels)
+            if not levels and not cleared:
+                continue
+            self._levels_sent[service] = levels
+            self._sequence += 1
+            items = [*levels.items(), *((target, 0.0) for target in sorted(cleared))]
+            message = peer_messages.Levels(
+                service, self._members.own.vm, self._sequence, tuple(items)
+            )
+            self._use_levels(message, now)
+            actions += self._flood(message, "", now)
+        return actions
+
+    def take_levels(
+        self, sender: str, message: peer_messages.Levels, now: float
+    ) -> Actions:
+        """Steer by another VM's pooled scores, and tell them on."""
+        key = (message.service, message.pooled_by)
+        if message.sequence <= self._levels_seen.get(key, 0):
+            return []
+        self._levels_seen[key] = message.sequence
+        self._use_levels(message, now)
+        return self._flood(message, sender, now)
+
+    def propose_ejections(self, now: float) -> Actions:
+        """Propose what the evidence supports, where this VM pools first."""
+        actions: Actions = []
+        watch = self._members.watch()
+        for service, pool in self._pools.items():
+            routing = self._routers.get(service)
+            if routing is None or self._pick_pools(service)[0] != self._members.own.vm:
+                continue
+            places = {
+                target.name: target.data_centre
+                for target in routing.service.targets
+                if routing.is_in_service(target, now)
+            }
+            levels = pool.list_levels(watch, now)
+            for target in pool.list_condemned(places, watch, now):
+                actions += self._propose(service, target, levels[target], now)
+        return actions
+
+    def _collect(
+        self, name: str, routing: router.Router, now: float
+    ) -> tuple[evidence_pool.Report, ...]:
+        """Return what is worth telling: accusations, and answers to accusations."""
+        fresh = routing.health.take_fresh()
+        targets = [target.name for target in routing.service.targets]
+        doubts = routing.health.doubts_itself(targets, now)
+        self._note_doubt(name, doubts, now)
+        if doubts:
+            return ()
+        return tuple(
+            evidence_pool.Report(subject, tally, routing.health.find_baseline(subject))
+            for subject, tally in fresh.items()
+            if tally.error + tally.slow > 0
+            or routing.find_level(subject.target, now) > 0.0
+        )
+
+    def _note_doubt(self, name: str, doubts: bool, now: float) -> None:
+        if doubts and name not in self._doubting:
+            self._doubting.add(name)
+            kind = timeline.EventKind.SELF_DOUBTED
+            detail = "most targets look bad from here: evidence is kept back"
+            self._events.record(kind, name, detail, now)
+        elif not doubts:
+            self._doubting.discard(name)
+
+    def _pick_pools(self, service: str) -> list[str]:
+        names = [member.vm for member in self._members.list_alive()]
+        names.append(self._members.own.vm)
+        return rendezvous.pick(f"pool/{service}", names, POOLS_PER_SERVICE)
+
+    def _find_pool(self, service: str) -> evidence_pool.EvidencePool | None:
+        routing = self._routers.get(service)
+        if routing is None:
+            return None
+        pool = self._pools.get(service)
+        if pool is None or pool.threshold != routing.health.threshold:
+            pool = evidence_pool.EvidencePool(routing.health.threshold)
+            self._pools[service] = pool
+        return pool
+
+    def _use_levels(self, message: peer_messages.Levels, now: float) -> None:
+        routing = self._routers.get(message.service)
+        if routing is None:
+            return
+        threshold = routing.health.threshold
+        for target, level in message.items:
+            routing.take_pooled(target, level, now + LEVELS_VALID_FOR)
+            self._note_level(message, target, level, threshold, now)
+
+    def _note_level(
+        self,
+        message: peer_messages.Levels,
+        target: str,
+        level: float,
+        threshold: float,
+        now: float,
+    ) -> None:
+        key = (message.service, target)
+        subject = f"{message.service}/{target}"
+        if level > 0 and key not in self._noticed:
+            self._noticed.add(key)
+            detail = f"level {level:.1f} of {threshold:.1f}, by {message.pooled_by}"
+            kind = timeline.EventKind.SUSPECTED
+            self._events.record(kind, subject, detail, now)
+        elif level == 0 and key in self._noticed:
+            self._noticed.discard(key)
+            kind = timeline.EventKind.CLEARED
+            self._events.record(kind, subject, "evidence has sunk", now)
+
+    def _propose(self, service: str, target: str, level: float, now: float) -> Actions:
+        key = (service, target)
+        if now < self._proposed_at.get(key, now - PROPOSAL_PAUSE) + PROPOSAL_PAUSE:
+            return []
+        self._proposed_at[key] = now
+        count = self._ledger.count_ejections(service, target, now - FLAP_MEMORY)
+        lease = min(MOST_LEASE, FIRST_LEASE * 2**count)
+        ejection = ejections.Ejection(
+            service, target, self._members.own.vm, now, now + lease, level
+        )
+        kind = timeline.EventKind.EJECTION_PROPOSED
+        detail = f"level {level:.1f}, for {lease:.0f} s"
+        self._events.record(kind, f"{service}/{target}", detail, now)
+        return [control_actions.AppendConfig(ejections.pack(ejection))]
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/router.py
@@ -0,0 +1,164 @@
+"""Routing of one service on one VM: which target gets the next attempt."""
+
+from __future__ import annotations
+
+import collections
+import random
+import typing
+
+from . import admission, budgets, choice, evidence, health, services, steering
+
+COLD_START = 5.0
+SHED_PAUSE = 0.05
+DRAIN_MEMORY = 30.0
+
+
+class Router:
+    """Targets of one service as one VM uses them; an `attempts.Chooser`.
+
+    Parameters
+    ----------
+    service : services.Service
+        The service, from the bundle.
+    generator : random.Random
+        Source of randomness.
+    now : float
+        Unix seconds. Targets known from the start count as warm.
+    """
+
+    def __init__(
+        self, service: services.Service, generator: random.Random, now: float
+    ) -> None:
+        self.service = service
+        self.health = health.Health(evidence.find_threshold(service.detection_weight))
+        self.admission = admission.Admission(service.max_in_flight, service.max_queue)
+        self._generator = generator
+        self._in_flight: dict[str, float] = collections.defaultdict(float)
+        self._warm_at: dict[str, float] = {t.name: now for t in service.targets}
+        self._shed_until: dict[str, float] = {}
+        self._leaving_until: dict[str, float] = {}
+        self._ejected: set[str] = set()
+        self._pooled: dict[str, tuple[float, float]] = {}
+        self._retries = budgets.ShareBudget(budgets.RETRY_SHARE, budgets.RETRY_RESERVE)
+        self._hedges = budgets.ShareBudget(budgets.HEDGE_SHARE, budgets.HEDGE_RESERVE)
+
+    def replace_service(self, service: services.Service, now: float) -> None:
+        """Follow a new bundle; new targets start cold, known ones stay as they are."""
+        for target in service.targets:
+            old = self.service.find_target(target.name)
+            moved = old is None or (old.host, old.port) != (target.host, target.port)
+            if moved:
+                self._warm_at[target.name] = now + COLD_START
+                self.health.forget(target.name)
+        names = {target.name for target in service.targets}
+        for table in (self._warm_at, self._shed_until, self._leaving_until):
+            for name in [name for name in table if name not in names]:
+                del table[name]
+        self.health.keep_only(names)
+        self.health.threshold = evidence.find_threshold(service.detection_weight)
+        self.admission.resize(service.max_in_flight, service.max_queue)
+        self.service = service
+
+    def choose(
+        self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
+    ) -> services.Target | None:
+        """Return a target for the next attempt, or None where none may have it."""
+        weighted = [w for w in self.weigh(now) if w.target.name not in excluded]
+        if kind.work is services.Work.AT_MOST_ONCE:
+            sound = [item for item in weighted if not item.is_suspect]
+            weighted = sound or weighted
+        free = [w for w in weighted if self._shed_until.get(w.target.name, 0) <= now]
+        return choice.draw(free or weighted, self._in_flight, self._generator)
+
+    def may_retry(self, now: float) -> bool:
+        """Return whether the retry budget allows one more attempt, and spend it."""
+        return self._retries.spend()
+
+    def may_hedge(self, now: float) -> bool:
+        """Return whether the hedge budget allows one, and spend it.
+
+        In an overload every answer is late, and second tries would only add load.
+        """
+        return self._hedges.spend()
+
+    def find_hedge_time(
+        self, kind: services.Kind, target: services.Target, now: float
+    ) -> float | None:
+        """Return when a second attempt is worth starting, or None."""
+        subject = health.Subject(target.name, kind.name)
+        after = self.health.find_overdue_after(subject)
+        return None if after is None else now + after
+
+    def weigh(self, now: float) -> list[steering.Weighted]:
+        """Return the targets that may get work, with their weights."""
+        conditions = [
+            steering.Condition(
+                target,
+                self.find_level(target.name, now) / self.health.threshold,
+                self._find_warmth(target.name, now),
+            )
+            for target in self.service.targets
+            if self.is_in_service(target, now)
+        ]
+        return steering.weigh(conditions, self.service.floor_slots)
+
+    def is_in_service(self, target: services.Target, now: float) -> bool:
+        """Return whether a target may get new work."""
+        if target.draining or target.name in self._ejected:
+            return False
+        return self._leaving_until.get(target.name, 0.0) <= now
+
+    def find_level(self, target: str, now: float) -> float:
+        """Return the score of a target: this VM's own or the pooled, if higher."""
+        own = self.health.find_level(target, now)
+        pooled, valid_until = self._pooled.get(target, (0.0, 0.0))
+        return max(own, pooled) if now < valid_until else own
+
+    def take_pooled(self, target: str, level: float, valid_until: float) -> None:
+        """Take in the score that several VMs' evidence supports."""
+        self._pooled[target] = (level, valid_until)
+
+    def list_ejected(self) -> set[str]:
+        """Return the targets that are ejected now."""
+        return set(self._ejected)
+
+    def take_ejected(self, ejected: set[str], now: float) -> None:
+        """Follow the ejections in force; whoever comes back starts cold."""
+        for name in self._ejected - ejected:
+            self._warm_at[name] = now + COLD_START
+            self.health.forget(name, level=self.health.threshold * steering.EASY)
+            self._pooled.pop(name, None)
+        self._ejected = set(ejected)
+
+    def take_leaving(self, target: str, now: float) -> None:
+        """Take in that a target, or the VM list, says that the target is leaving."""
+        self._leaving_until[target] = now + DRAIN_MEMORY
+
+    def start(self, target: str, is_first: bool) -> None:
+        """Take in that an attempt was sent."""
+        self._in_flight[target] += 1
+        if is_first:
+            self._retries.feed()
+            self._hedges.feed()
+
+    def end(self, target: str) -> None:
+        """Take in that an attempt ended, in whatever way."""
+        self._in_flight[target] -= 1
+        if self._in_flight[target] <= 0:
+            del self._in_flight[target]
+
+    def take_shed(self, target: str, now: float) -> None:
+        """Take in that a target refused for lack of slots, which is not a fault."""
+        self._shed_until[target] = now + SHED_PAUSE
+        self.admission.take_refusal(now)
+
+    def observe(self, target: str, kind: str, sign: evidence.Sign, now: float) -> None:
+        """Take in evidence for or against a target."""
+        is_cold = self._find_warmth(target, now) < 1.0
+        if is_cold and sign is evidence.Sign.SLOW:
+            return
+        self.health.observe(health.Subject(target, kind), sign, now)
+
+    def _find_warmth(self, target: str, now: float) -> float:
+        remaining = self._warm_at.get(target, now) - now
+        return 1.0 - min(1.0, max(0.0, remaining / COLD_START))
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/exchange.py
@@ -0,0 +1,221 @@
+"""One attempt: a request sent on one connection, and its answer checked whole."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import httpcore
+
+from zinniastand_core import attempts, services
+
+from . import answers, clock, connections, incoming
+
+MILLISECONDS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """What is to be sent, apart from where to."""
+
+    request: incoming.Request
+    """The caller's request."""
+
+    request_id: bytes
+    """Names it towards the target, and in the answer."""
+
+    service: services.Service
+    """Whose contract the answer is read by."""
+
+    start_deadline: float | None
+    """Unix seconds after which the target must not start it."""
+
+    max_body_bytes: int
+    """Largest answer body that is taken."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """How an attempt ended."""
+
+    answer: answers.Answer | None
+    """The whole answer, if there is one."""
+
+    failure: attempts.Failure | None
+    """Otherwise, how it failed."""
+
+    was_pooled: bool
+    """Whether the connection had been used before."""
+
+    is_leaving: bool = False
+    """Whether the target said that it is leaving."""
+
+    detail: str = ""
+    """For the time line."""
+
+
+class Exchanger:
+    """Sends attempts.
+
+    Parameters
+    ----------
+    pool : connections.Connections
+        Connections to targets.
+    timer : clock.Clock
+        The time.
+    """
+
+    def __init__(self, pool: connections.Connections, timer: clock.Clock) -> None:
+        self._pool = pool
+        self._timer = timer
+
+    async def exchange(self, send: attempts.Send, task: Task) -> Result:
+        """Send the request once and return how it ended, never raising.
+
+        Being cancelled closes the connection, which tells the target that the answer
+        is no longer wanted.
+        """
+        target = self._pool.find(send.target)
+        try:
+            connection = await target.take(send.freshness, self._timer.now())
+        except connections.NoConnectionError as error:
+            failure = attempts.Failure.NOT_HANDED
+            return Result(None, failure, False, detail=str(error))
+        was_pooled = not connection.is_new
+        sender = _Sender(connection, task, send)
+        with anyio.move_on_at(clock.convert_deadline(send.deadline, self._timer.now())):
+            try:
+                result = await sender.run()
+            except BaseException:
+                await target.discard(connection)
+                raise
+            if result.answer is None and result.failure is not _REFUSED:
+                await target.discard(connection)
+            else:
+                target.give_back(connection, self._timer.now())
+            return result
+        return Result(None, attempts.Failure.OVERDUE, was_pooled)
+
+
+_REFUSED = attempts.Failure.REFUSED
+
+
+class _Sender:
+    """One request on one connection."""
+
+    def __init__(
+        self, connection: connections.Connection, task: Task, send: attempts.Send
+    ) -> None:
+        self._connection = connection
+        self._task = task
+        self._send = send
+        self._was_pooled = not connection.is_new
+
+    async def run(self) -> Result:
+        request = httpcore.Request(
+            self._task.request.method,
+            httpcore.URL(
+                scheme=b"http",
+                host=self._send.target.host.encode(),
+                port=self._send.target.port,
+                target=self._task.request.target,
+            ),
+            headers=self._make_headers(),
+            content=self._task.request.body,
+        )
+        try:
+            response = await self._connection.http.handle_async_request(request)
+        except (httpcore.ConnectionNotAvailable, httpcore.LocalProtocolError) as error:
+            return self._fail(attempts.Failure.NOT_HANDED, error)
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
+            return self._fail(attempts.Failure.SILENT, error)
+        try:
+            body = await self._read_body(response)
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
+            return self._fail(attempts.Failure.CUT, error)
+        if body is None:
+            return self._fail(attempts.Failure.CUT, "answer body over the bound")
+        return self._judge(response, body)
+
+    async def _read_body(self, response: httpcore.Response) -> bytes | None:
+        chunks: list[bytes] = []
+        size = 0
+        stream = typing.cast("collections.abc.AsyncIterable[bytes]", response.stream)
+        async for chunk in stream:
+            size += len(chunk)
+            if size > self._task.max_body_bytes:
+                return None
+            chunks.append(chunk)
+        await response.aclose()
+        return b"".join(chunks)
+
+    def _judge(self, response: httpcore.Response, body: bytes) -> Result:
+        headers = [(name.lower(), value) for name, value in response.headers]
+        found = dict(headers)
+        leaving = b"close" in found.get(b"connection", b"").lower()
+        if not _has_stated_end(response.status, found, self._task.request.method):
+            return self._fail(attempts.Failure.CUT, "the answer does not say its end")
+        echo = self._task.service.echo_header.encode()
+        if echo and found.get(echo) != self._task.request_id:
+            return self._fail(attempts.Failure.CUT, "the answer is not to this request")
+        rule = self._task.service.not_started
+        if response.status == rule.status and rule.header.encode() in found:
+            detail = found[rule.header.encode()].decode("latin-1")
+            return Result(
+                None,
+                attempts.Failure.REFUSED,
+                self._was_pooled,
+                is_leaving=detail == "leaving",
+                detail=detail,
+            )
+        kept = incoming.keep_end_to_end(headers)
+        kept = tuple(item for item in kept if item[0] != b"content-length")
+        answer = answers.Answer(response.status, kept, body)
+        return Result(answer, None, self._was_pooled, is_leaving=leaving)
+
+    def _fail(self, failure: attempts.Failure, error: object) -> Result:
+        detail = f"{type(error).__name__}: {error}"
+        if isinstance(error, str):
+            detail = error
+        return Result(None, failure, self._was_pooled, detail=detail)
+
+    def _make_headers(self) -> list[tuple[bytes, bytes]]:
+        request = self._task.request
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name not in incoming.OWN_HEADERS
+        ]
+        headers.append((incoming.REQUEST_ID_HEADER, self._task.request_id))
+        headers.append((b"x-request-deadline-ms", _to_ms(self._send.deadline)))
+        if self._task.start_deadline is not None:
+            headers.append((b"x-start-deadline-ms", _to_ms(self._task.start_deadline)))
+        headers.append((b"forwarded", _describe_hop(request)))
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        if all(name != b"host" for name, _ in headers):
+            host = f"{self._send.target.host}:{self._send.target.port}"
+            headers.append((b"host", host.encode()))
+        return headers
+
+
+def _has_stated_end(
+    status: int, headers: collections.abc.Mapping[bytes, bytes], method: str
+) -> bool:
+    """Return whether a cut answer could be told from a whole one."""
+    if method == "HEAD" or status in (204, 304):
+        return True
+    return b"content-length" in headers or b"transfer-encoding" in headers
+
+
+def _to_ms(deadline: float) -> bytes:
+    return str(int(deadline * MILLISECONDS)).encode()
+
+
+def _describe_hop(request: incoming.Request) -> bytes:
+    client = request.client
+    if ":" in client:
+        client = f'"[{client}]"'
+    return f"for={client or 'unknown'};proto={request.scheme}".encode()
--- /dev/null
+++ b/packages/zinniastand-standins/src/zinniastand_standins/log_app.py
@@ -0,0 +1,60 @@
+"""HTTP interface of the log stand-in."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+from zinniastand_core import codec
+from zinniastand_proxy import caller_app, platform_log
+
+from . import asgi, log_store
+
+PREFIX = "/streams/"
+MOST_WAIT = 30.0
+MILLISECONDS = 1000.0
+
+
+class LogApp:
+    """Serves ``POST`` and ``GET /streams/NAME``.
+
+    Parameters
+    ----------
+    store : log_store.LogStore
+        The log.
+    """
+
+    def __init__(self, store: log_store.LogStore) -> None:
+        self._store = store
+
+    async def __call__(
+        self,
+        scope: caller_app.Scope,
+        receive: caller_app.Receive,
+        send: caller_app.Send,
+    ) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await caller_app.serve_lifespan(receive, send)
+            return
+        stream = scope["path"].removeprefix(PREFIX)
+        try:
+            if scope["method"] == "POST":
+                data = await asgi.read_body(receive)
+                result: typing.Any = await self._store.append(stream, data)
+            else:
+                result = await self._read(stream, scope)
+        except platform_log.LogRefusedError as error:
+            headers = [(platform_log.NOT_APPENDED_HEADER.encode(), b"1")]
+            await asgi.answer(send, 503, str(error).encode(), headers)
+        except platform_log.LogUncertainError as error:
+            await asgi.answer(send, 504, str(error).encode())
+        else:
+            await asgi.answer(send, 200, codec.encode(result))
+
+    async def _read(self, stream: str, scope: caller_app.Scope) -> list[object]:
+        query = urllib.parse.parse_qs(scope["query_string"].decode())
+        offset = int(query.get("offset", ["0"])[0])
+        wait = int(query.get("wait_ms", ["0"])[0]) / MILLISECONDS
+        page = await self._store.read(stream, offset, min(wait, MOST_WAIT))
+        return [page.offset, list(page.entries)]
--- /dev/null
+++ b/packages/zinniastand-standins/src/zinniastand_standins/site.py
@@ -0,0 +1,233 @@
+"""A whole site on loopback: log, list, targets, and any number of daemons."""
+
+from __future__ import annotations
+
+import base64
+import collections.abc
+import dataclasses
+import json
+import random
+import typing
+import uuid
+
+import anyio
+import anyio.abc
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from zinniastand_core import bundles, chain, proposals
+from zinniastand_proxy import daemon, listeners, platform_log, settings
+
+from . import log_app, log_store, target, vm_list_app, work_ledger
+
+HOST = "127.0.0.1"
+CONFIG_STREAM = "config"
+ANY_PORT = settings.Address(HOST, 0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A service of the site and its targets."""
+
+    name: str
+    """Name of the service."""
+
+    targets: int
+    """Number of targets."""
+
+    slots: int
+    """Slots of each."""
+
+    work_time: float
+    """Median seconds that a request takes."""
+
+    floor_slots: int
+    """Floor of the service."""
+
+    detection_weight: float
+    """Weight of detection time against false ejections."""
+
+    kinds: tuple[dict[str, object], ...]
+    """Kinds, as they stand in a bundle."""
+
+    routes: tuple[dict[str, object], ...]
+    """Routes, as they stand in a bundle."""
+
+    data_centres: tuple[str, ...]
+    """Data centres over which targets are spread."""
+
+
+class Site:
+    """Stand-ins and daemons of one user, in one process.
+
+    Parameters
+    ----------
+    group : anyio.abc.TaskGroup
+        Where everything runs.
+    seed : int
+        Seed of all randomness in the stand-ins.
+    """
+
+    def __init__(self, group: anyio.abc.TaskGroup, seed: int = 1) -> None:
+        self._group = group
+        self._generator = random.Random(seed)
+        self.log = log_store.LogStore()
+        self.listing = vm_list_app.VmListApp()
+        self.ledger = work_ledger.WorkLedger()
+        self.targets: dict[str, target.Target] = {}
+        self.ports: dict[str, int] = {}
+        self.daemons: dict[str, daemon.Daemon] = {}
+        self.keys = {
+            name: ed25519.Ed25519PrivateKey.generate() for name in ("first", "second")
+        }
+        self._log_url = ""
+        self._listing_url = ""
+        self._peer_ports: dict[str, int] = {}
+        self.document: dict[str, typing.Any] = {}
+
+    async def start_platform(self) -> None:
+        """Serve the log and the VM list."""
+        log_port = await self.serve(log_app.LogApp(self.log))
+        list_port = await self.serve(self.listing)
+        self._log_url = f"http://{HOST}:{log_port}"
+        self._listing_url = f"http://{HOST}:{list_port}/vms"
+
+    async def serve(self, app: listeners.App, port: int = 0) -> int:
+        """Serve an application on loopback; return its port."""
+        listener = listeners.Listener(settings.Address(HOST, port), None)
+        bound = listener.port
+        self._group.start_soon(listener.serve, app, anyio.sleep_forever)
+        return bound
+
+    async def start_targets(self, plans: collections.abc.Iterable[ServicePlan]) -> None:
+        """Start the targets of each service and note them for the bundle."""
+        described: dict[str, object] = {}
+        for plan in plans:
+            listed = [
+                await self._start_target(plan, number) for number in range(plan.targets)
+            ]
+            described[plan.name] = {
+                "floor_slots": plan.floor_slots,
+                "detection_weight": plan.detection_weight,
+                "echo_header": "x-request-id",
+                "kinds": list(plan.kinds),
+                "routes": list(plan.routes),
+                "targets": listed,
+            }
+        self.document = {
+            "operators": self._describe_operators(),
+            "services": described,
+        }
+
+    def publish(self) -> str:
+        """Sign the document off and append it to the log; return the proposal's id."""
+        current = self.read_chain()
+        sections = bundles.split_document(self.document).ok
+        parsed = bundles.parse_sections(sections)
+        if parsed.is_error():
+            raise ValueError(str(parsed.error))
+        name = f"proposal-{uuid.uuid4().hex[:8]}"
+        proposal = proposals.propose(
+            name, current.version + 1, current.bundle, parsed.ok
+        )
+        for operator, key in self.keys.items():
+            proposal = proposals.sign(proposal, operator, key)
+        self.log.append_now(CONFIG_STREAM, chain.pack_proposal(proposal))
+        return name
+
+    def read_chain(self) -> chain.Chain:
+        """Return the chain that the log holds."""
+        config = settings.parse(json.dumps(self.make_settings("reader")), "reader")
+        result = chain.Chain(config.ok.trusted)
+        for data in self.log.list_entries(CONFIG_STREAM, 0).entries:
+            result.apply(data)
+        return result
+
+    async def start_daemon(
+        self,
+        vm: str,
+        data_centre: str = "dc-1",
+        log: platform_log.Log | None = None,
+        unready_for: float = 0.2,
+    ) -> daemon.Daemon:
+        """Start a daemon and add it to the VM list."""
+        document = self.make_settings(vm, data_centre)
+        config = settings.parse(json.dumps(document), vm)
+        if config.is_error():
+            raise ValueError(str(config.error))
+        process = daemon.Daemon(config.ok, log=log, unready_for=unready_for)
+        await self._group.start(process.run)
+        self.daemons[vm] = process
+        self.listing.vms.append(
+            {
+                "name": vm,
+                "data_centre": data_centre,
+                "peers_url": document["peers"]["url"],
+                "state": "live",
+                "role": "entry",
+            }
+        )
+        return process
+
+    def make_settings(
+        self, vm: str, data_centre: str = "dc-1"
+    ) -> dict[str, typing.Any]:
+        """Return the settings document of a VM."""
+        port = self._peer_ports.get(vm)
+        if port is None:
+            port = self._peer_ports[vm] = find_free_port()
+        return {
+            "vm": vm,
+            "data_centre": data_centre,
+            "callers": {"host": HOST, "port": 0},
+            "admin": {"host": HOST, "port": 0},
+            "peers": {"host": HOST, "port": port, "url": f"ws://{HOST}:{port}"},
+            "log": {"url": self._log_url or "http://127.0.0.1:9"},
+            "vm_list": {"url": self._listing_url or "http://127.0.0.1:9"},
+            "trusted_operators": self._describe_operators(),
+            "log_level": "warning",
+        }
+
+    def forget_daemon(self, vm: str) -> None:
+        """Take a VM off the list; a VM of the same name gets a new port."""
+        self.listing.vms = [item for item in self.listing.vms if item["name"] != vm]
+        self.daemons.pop(vm, None)
+        self._peer_ports.pop(vm, None)
+
+    async def _start_target(self, plan: ServicePlan, number: int) -> dict[str, object]:
+        name = f"{plan.name}-{number + 1}"
+        worker = target.Target(
+            name, self.ledger, plan.slots, plan.work_time, self._generator
+        )
+        self.targets[name] = worker
+        port = self.ports[name] = await self.serve(worker)
+        return {
+            "name": name,
+            "host": HOST,
+            "port": port,
+            "data_centre": plan.data_centres[number % len(plan.data_centres)],
+            "slots": plan.slots,
+        }
+
+    def _describe_operators(self) -> dict[str, object]:
+        members = [
+            {"name": name, "public_key": encode_public_key(key)}
+            for name, key in self.keys.items()
+        ]
+        return {"members": members, "sign_offs_needed": 2}
+
+
+def encode_public_key(key: ed25519.Ed25519PrivateKey) -> str:
+    """Return the public half of a key in base64."""
+    raw = key.public_key().public_bytes(
+        serialization.Encoding.Raw, serialization.PublicFormat.Raw
+    )
+    return base64.b64encode(raw).decode()
+
+
+def find_free_port() -> int:
+    """Return a loopback port that is free now."""
+    listener = listeners.Listener(ANY_PORT, None)
+    port = listener.port
+    listener.close()
+    return port
--- /dev/null
+++ b/packages/zinniastand-standins/src/zinniastand_standins/target.py
@@ -0,0 +1,161 @@
+"""A stand-in target with slots, its gray faults and a ledger of what it ran."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+import time
+
+import anyio
+
+from zinniastand_proxy import caller_app
+
+from . import asgi, work_ledger
+
+NAME_HEADER = b"x-work-name"
+START_HEADER = b"x-start-deadline-ms"
+ECHO_HEADER = b"x-request-id"
+MILLISECONDS = 1000.0
+
+
+class Fault(enum.StrEnum):
+    """A gray fault; probes are answered in all of them."""
+
+    NONE = "none"
+    ERRORS = "errors"
+    SLOW = "slow"
+    SILENT = "silent"
+    CUT = "cut"
+    CROSSED = "crossed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mood:
+    """How a target behaves at the moment."""
+
+    fault: Fault = Fault.NONE
+    """The fault."""
+
+    share: float = 1.0
+    """Share of requests that it hits."""
+
+    factor: float = 10.0
+    """How much longer a slow request takes."""
+
+
+class Target:
+    """One worker.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    ledger : work_ledger.WorkLedger
+        Where it records what it starts.
+    slots : int
+        Requests that it works on at a time; more are refused before they start.
+    work_time : float
+        Median seconds that a request takes.
+    generator : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ledger: work_ledger.WorkLedger,
+        slots: int,
+        work_time: float,
+        generator: random.Random,
+    ) -> None:
+        self.name = name
+        self.mood = Mood()
+        self.is_leaving = False
+        self.received = 0
+        self.last_received_at = 0.0
+        self._ledger = ledger
+        self._slots = slots
+        self._work_time = work_time
+        self._generator = generator
+        self._busy = 0
+
+    async def __call__(
+        self,
+        scope: caller_app.Scope,
+        receive: caller_app.Receive,
+        send: caller_app.Send,
+    ) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await caller_app.serve_lifespan(receive, send)
+            return
+        body = await asgi.read_body(receive)
+        if scope["path"] == "/health":
+            await asgi.answer(send, 200, b"fine")
+            return
+        self.received += 1
+        self.last_received_at = time.time()
+        headers = dict(scope["headers"])
+        echo = [(ECHO_HEADER, headers.get(ECHO_HEADER, b""))]
+        refusal = self._find_refusal(headers)
+        if refusal:
+            await asgi.answer(send, 503, b"", [*echo, (b"x-not-started", refusal)])
+            return
+        self._busy += 1
+        try:
+            await self._work(headers, body, echo, send)
+        finally:
+            self._busy -= 1
+
+    def _find_refusal(self, headers: dict[bytes, bytes]) -> bytes:
+        if self.is_leaving:
+            return b"leaving"
+        if self._busy >= self._slots:
+            return b"busy"
+        deadline = headers.get(START_HEADER)
+        if deadline and time.time() * MILLISECONDS > int(deadline):
+            return b"late"
+        return b""
+
+    async def _work(
+        self,
+        headers: dict[bytes, bytes],
+        body: bytes,
+        echo: list[tuple[bytes, bytes]],
+        send: caller_app.Send,
+    ) -> None:
+        name = headers.get(NAME_HEADER, b"").decode()
+        self._ledger.record(work_ledger.Run(name, self.name, time.time()))
+        fault = self._draw_fault()
+        took = self._work_time * self._generator.lognormvariate(0.0, 0.25)
+        if fault is Fault.SLOW:
+            took *= self.mood.factor
+        await anyio.sleep(took)
+        if fault is Fault.SILENT:
+            await anyio.sleep_forever()
+        if fault is Fault.ERRORS:
+            await asgi.answer(send, 500, b"failed", echo)
+            return
+        if fault is Fault.CROSSED:
+            echo = [(ECHO_HEADER, b"somebody-else")]
+        answer = b"done:" + name.encode() + b":" + body
+        if fault is Fault.CUT:
+            await _send_cut(send, answer, echo)
+            return
+        await asgi.answer(send, 200, answer, echo)
+
+    def _draw_fault(self) -> Fault:
+        if self._generator.random() < self.mood.share:
+            return self.mood.fault
+        return Fault.NONE
+
+
+async def _send_cut(
+    send: caller_app.Send, answer: bytes, headers: list[tuple[bytes, bytes]]
+) -> None:
+    """Promise more bytes than are sent, and end there."""
+    length = (b"content-length", str(len(answer) + 10).encode())
+    start = {"status": 200, "headers": [*headers, length]}
+    await send({"type": "http.response.start", **start})
+    await send({"type": "http.response.body", "body": answer})
