--- a/packages/zinniastand-core/src/zinniastand_core/bundles.py
+++ b/packages/zinniastand-core/src/zinniastand_core/bundles.py
@@ -175,6 +175,17 @@
     return expression.Ok(result)
 
 
+def parse_document(
+    document: object,
+) -> expression.Result[Bundle, findings.Findings]:
+    """Return the bundle in an operator's document, or every finding in it."""
+    match split_document(document):
+        case expression.Result(tag="ok", ok=values):
+            return parse_sections(values)
+        case expression.Result(error=found):
+            return expression.Error(found)
+
+
 def _take_source(reader: documents.Reader, name: str) -> SectionValue:
     nested = reader.read_object(name, optional=name == "accounts")
     nested.read_names()
--- /dev/null
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, ``zinniactl``."""
--- /dev/null
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/fleet_commands.py
@@ -0,0 +1,159 @@
+"""Commands that ask the VMs: follow, status, timeline."""
+
+from __future__ import annotations
+
+import pathlib
+import time
+import typing
+
+import anyio
+import httpx
+import typer
+
+from . import bundle_commands, output, timeline_page
+
+TIMEOUT = 3.0
+FOLLOW_PAUSE = 0.2
+
+AdminOption = typing.Annotated[
+    list[str],
+    typer.Option("--admin", help="Admin URL of a VM, such as http://10.0.0.1:9100."),
+]
+
+
+async def _fetch(url: str, path: str) -> dict[str, typing.Any] | None:
+    async with httpx.AsyncClient(timeout=TIMEOUT) as client:
+        try:
+            answer = await client.get(url.rstrip("/") + path)
+            return answer.json()
+        except (httpx.HTTPError, ValueError):
+            return None
+
+
+def _fetch_all(urls: list[str], path: str) -> dict[str, dict[str, typing.Any] | None]:
+    """Return a page of every VM, or None for those that did not answer."""
+    found: dict[str, dict[str, typing.Any] | None] = {}
+
+    async def fetch_one(url: str) -> None:
+        found[url] = await _fetch(url, path)
+
+    async def fetch() -> None:
+        async with anyio.create_task_group() as group:
+            for url in urls:
+                group.start_soon(fetch_one, url)
+
+    anyio.run(fetch)
+    return {url: found[url] for url in urls}
+
+
+def follow(
+    proposal_id: typing.Annotated[str, typer.Argument(help="Id of the proposal.")],
+    admin: AdminOption,
+    version: typing.Annotated[
+        int, typer.Option("--version", help="Version that it makes, if known.")
+    ] = 0,
+    limit: typing.Annotated[float, typer.Option(help="Seconds to wait.")] = 30.0,
+) -> None:
+    """Wait until a bundle, or a later one, is in force on every VM.
+
+    Exit codes: 0 in force everywhere, 1 not within the limit.
+    """
+    started = time.monotonic()
+    while True:
+        pages = _fetch_all(admin, "/bundle")
+        lacking = [
+            url
+            for url, page in pages.items()
+            if page is None or not _has_bundle(page, proposal_id, version)
+        ]
+        if not lacking:
+            typer.echo(f"in force on {len(admin)} VMs")
+            return
+        if time.monotonic() - started > limit:
+            output.fail("not in force on: " + ", ".join(lacking), output.EXIT_FAILED)
+        time.sleep(FOLLOW_PAUSE)
+
+
+def _has_bundle(page: dict[str, typing.Any], proposal_id: str, version: int) -> bool:
+    if page["proposal_id"] == proposal_id:
+        return True
+    return version > 0 and page["version"] >= version
+
+
+def status(admin: AdminOption, as_json: bundle_commands.JsonOption = False) -> None:
+    """Show every VM, and every target as the VMs see it.
+
+    Exit codes: 0 all answered, 3 some VM did not.
+    """
+    pages = _fetch_all(admin, "/fleet")
+    versions = _fetch_all(admin, "/bundle")
+    if as_json:
+        output.show({"fleet": pages, "bundles": versions}, True, "")
+    else:
+        typer.echo(_format_vms(pages, versions))
+        typer.echo("")
+        typer.echo(_format_targets(pages))
+    if any(page is None for page in pages.values()):
+        raise typer.Exit(output.EXIT_UNREACHABLE)
+
+
+def _format_vms(
+    pages: dict[str, dict[str, typing.Any] | None],
+    versions: dict[str, dict[str, typing.Any] | None],
+) -> str:
+    rows: list[list[object]] = []
+    for url, page in pages.items():
+        if page is None:
+            rows.append([url, "no answer", "", "", ""])
+            continue
+        alive = [item for item in page["members"] if item["status"] == "alive"]
+        bundle = versions.get(url) or {}
+        log = "up" if page["log_is_up"] else "down"
+        version = bundle.get("version", "?")
+        rows.append([url, page["vm"], version, len(alive), log])
+    return output.format_table(["admin", "vm", "bundle", "members", "log"], rows)
+
+
+def _format_targets(pages: dict[str, dict[str, typing.Any] | None]) -> str:
+    seen: dict[tuple[str, str], list[dict[str, typing.Any]]] = {}
+    for page in pages.values():
+        for service in page["services"] if page else ():
+            for target in service["targets"]:
+                key = (service["service"], target["target"])
+                seen.setdefault(key, []).append(target)
+    rows: list[list[object]] = []
+    for (service, name), views in sorted(seen.items()):
+        weights = sorted(view["weight"] for view in views)
+        level = max(view["level"] for view in views)
+        ejected = sum(view["ejected"] for view in views)
+        span = f"{weights[0]:.2f}..{weights[-1]:.2f}"
+        rows.append([service, name, views[0]["data_centre"], span, level, ejected])
+    head = ["service", "target", "data centre", "weight", "level", "ejected on VMs"]
+    return output.format_table(head, rows)
+
+
+def timeline(
+    admin: AdminOption,
+    html: typing.Annotated[
+        pathlib.Path | None, typer.Option(help="Write a page to this file.")
+    ] = None,
+    about: typing.Annotated[
+        str, typer.Option(help="Only events whose subject contains this.")
+    ] = "",
+    as_json: bundle_commands.JsonOption = False,
+) -> None:
+    """Show the events of all VMs in one causal order.
+
+    Exit codes: 0 all answered, 3 some VM did not (the others are shown).
+    """
+    pages = _fetch_all(admin, "/events")
+    events = timeline_page.merge(page for page in pages.values() if page)
+    events = [event for event in events if about in event["subject"]]
+    if html is not None:
+        html.write_text(timeline_page.render(events), encoding="utf-8")
+        typer.echo(f"{len(events)} events: {html}")
+    else:
+        lines = [timeline_page.format_line(event) for event in events]
+        output.show(events, as_json, "\n".join(lines))
+    if any(page is None for page in pages.values()):
+        raise typer.Exit(output.EXIT_UNREACHABLE)
--- /dev/null
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/timeline_page.py
@@ -0,0 +1,74 @@
+"""The events of many VMs, merged, as text and as a page."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+import typing
+
+import jinja2
+
+Event = dict[str, typing.Any]
+
+COLOURS = {
+    "ejected": "#b3261e",
+    "suspected": "#c77700",
+    "request-unknown": "#b3261e",
+    "log-down": "#b3261e",
+    "peer-down": "#c77700",
+    "bundle-accepted": "#1b6e3c",
+    "readmitted": "#1b6e3c",
+    "log-up": "#1b6e3c",
+}
+USUAL_COLOUR = "#44546a"
+
+
+def merge(pages: collections.abc.Iterable[Event]) -> list[Event]:
+    """Return the events of all pages in the order of their hybrid clocks."""
+    events = [event for page in pages for event in page["events"]]
+    return sorted(events, key=lambda e: (e["time"], e["count"], e["vm"]))
+
+
+def format_line(event: Event) -> str:
+    """Return an event as one line."""
+    clock = format_time(event["time"])
+    return (
+        f"{clock} {event['vm']:12} {event['kind']:18} "
+        f"{event['subject']}  {event['detail']}"
+    )
+
+
+def format_time(seconds: float) -> str:
+    """Return the time of day in UTC, to the millisecond."""
+    moment = datetime.datetime.fromtimestamp(seconds, tz=datetime.UTC)
+    return moment.strftime("%H:%M:%S.%f")[:-3]
+
+
+def render(events: list[Event]) -> str:
+    """Return a page that needs nothing else."""
+    environment = jinja2.Environment(
+        loader=jinja2.PackageLoader("zinniastand_ctl", "templates"),
+        autoescape=True,
+        trim_blocks=True,
+        lstrip_blocks=True,
+    )
+    vms = sorted({event["vm"] for event in events})
+    first = events[0]["time"] if events else 0.0
+    last = events[-1]["time"] if events else 0.0
+    span = max(0.001, last - first)
+    rows = [
+        {
+            **event,
+            "clock": format_time(event["time"]),
+            "place": 100.0 * (event["time"] - first) / span,
+            "colour": COLOURS.get(event["kind"], USUAL_COLOUR),
+        }
+        for event in events
+    ]
+    return environment.get_template("timeline.html.jinja").render(
+        rows=rows,
+        vms=vms,
+        kinds=sorted({event["kind"] for event in events}),
+        start=format_time(first),
+        end=format_time(last),
+    )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/cli.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/cli.py
@@ -12,7 +12,7 @@
 import expression
 import typer
 
-from . import daemon, logs, settings
+from . import daemon, listeners, logs, settings
 
 EXIT_BAD_INPUT = 2
 EXIT_CUT_OFF = 3
@@ -56,6 +56,7 @@
 
 
 async def _run(process: daemon.Daemon) -> None:
+    listeners.log_loop_errors()
     async with anyio.create_task_group() as group:
         group.start_soon(_watch_signals, process)
         await process.run()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/listeners.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/listeners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import socket
 import typing
@@ -10,7 +11,7 @@
 import hypercorn.asyncio
 import hypercorn.config
 
-from . import settings
+from . import logs, settings
 
 KEEP_ALIVE = 75.0
 MOST_REQUESTS = 2**62
@@ -20,6 +21,8 @@
 
 App = typing.Any
 
+_logger = logs.get_logger("listeners")
+
 
 class Listener:
     """One bound address.
@@ -81,6 +84,21 @@
                 ended.set()
 
 
+def log_loop_errors() -> None:
+    """Send what goes wrong in callbacks of the running loop to the log, as JSON.
+
+    A connection that is cut while its request runs makes Python 3.11's stream callback
+    ask a cancelled task for its exception; that says nothing, and is dropped.
+    """
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        if isinstance(context.get("exception"), asyncio.CancelledError):
+            return
+        _logger.error(str(context.get("message")), extra={"cause": str(context)})
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
 async def _serve_shielded(
     app: App, config: hypercorn.config.Config, ended: anyio.Event
 ) -> None:
--- a/packages/zinniastand-standins/src/zinniastand_standins/target.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/target.py
@@ -16,6 +16,7 @@
 NAME_HEADER = b"x-work-name"
 START_HEADER = b"x-start-deadline-ms"
 ECHO_HEADER = b"x-request-id"
+WORKED_HEADER = b"x-worked-ms"
 MILLISECONDS = 1000.0
 
 
@@ -72,8 +73,7 @@
         self.name = name
         self.mood = Mood()
         self.is_leaving = False
-        self.received = 0
-        self.last_received_at = 0.0
+        self.received_at: list[float] = []
         self._ledger = ledger
         self._slots = slots
         self._work_time = work_time
@@ -94,8 +94,7 @@
         if scope["path"] == "/health":
             await asgi.answer(send, 200, b"fine")
             return
-        self.received += 1
-        self.last_received_at = time.time()
+        self.received_at.append(time.time())
         headers = dict(scope["headers"])
         echo = [(ECHO_HEADER, headers.get(ECHO_HEADER, b""))]
         refusal = self._find_refusal(headers)
@@ -128,6 +127,7 @@
         name = headers.get(NAME_HEADER, b"").decode()
         self._ledger.record(work_ledger.Run(name, self.name, time.time()))
         fault = self._draw_fault()
+        started = time.monotonic()
         took = self._work_time * self._generator.lognormvariate(0.0, 0.25)
         if fault is Fault.SLOW:
             took *= self.mood.factor
@@ -137,6 +137,8 @@
         if fault is Fault.ERRORS:
             await asgi.answer(send, 500, b"failed", echo)
             return
+        worked = f"{MILLISECONDS * (time.monotonic() - started):.3f}".encode()
+        echo = [*echo, (WORKED_HEADER, worked)]
         if fault is Fault.CROSSED:
             echo = [(ECHO_HEADER, b"somebody-else")]
         answer = b"done:" + name.encode() + b":" + body
