Pool all outcomes, and wait out full targets

Cause: on a model of arrivals (36 VMs, 20 targets x 3 slots, 80% load) 6% of the requests failed and a healthy target was ejected. Pools heard only bad outcomes, so the bad luck of 36 VMs added up; a refusal for lack of slots spent the retry budget, and a request gave up after four full targets although it had time left. Ruled out: the concurrency limit (settled at 6 with 0.8 in flight). Change: VMs report good outcomes too and the pool works out the baseline; refusals have a budget of their own and are followed by pauses; weights, digests and neighbours are cached.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: seeded models of arrivals over the real decisions, and real sockets."""
--- /dev/null
+++ b/bench/arrivals.py
@@ -0,0 +1,590 @@
+"""A small model of arrivals in virtual time, over the real decisions.
+
+Each VM runs the real `attempts.Plan`, `router.Router` and `control.Control`. Targets,
+network and log are a few lines each. It is no cluster simulator: it has no connections,
+no bundles and no claims; those are tested at their own interfaces.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from zinniastand_core import (
+    admission,
+    attempts,
+    baselines,
+    control,
+    control_actions,
+    ejections,
+    evidence,
+    membership,
+    peer_messages,
+    router,
+    services,
+    timeline,
+)
+
+SERVICE = "service"
+HOP = 0.0005
+TICK = 0.5
+PATIENCE_FACTOR = 20.0
+TRUSTED = services.Operators((), 1)
+
+ALONE = "alone"
+SHARED = "shared"
+NO_EJECTION = "no ejection"
+CONSECUTIVE = "consecutive"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size and load of one service."""
+
+    vms: int
+    """VMs that send to it."""
+
+    vm_places: int
+    """Data centres over which VMs and targets are spread."""
+
+    targets: int
+    """Targets."""
+
+    slots: int
+    """Slots of each."""
+
+    load: float
+    """Offered work as a share of all slots."""
+
+    work_time: float = 0.05
+    """Median seconds of work."""
+
+    spread: float = 0.4
+    """Sigma of the lognormal work time."""
+
+    floor_share: float = 0.6
+    """Floor as a share of all slots."""
+
+    detection_weight: float = 0.5
+    """Weight of detection time against false ejections."""
+
+    skew: float = 0.0
+    """0: the balancer spreads evenly; 1: the busiest VM gets twice the mean."""
+
+    keyed_share: float = 0.0
+    """Share of requests that may run only once and weigh five times."""
+
+    queues: bool = False
+    """Whether a full target queues work instead of refusing it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """What befalls one target, from the view of some VMs, for some time."""
+
+    targets: tuple[int, ...]
+    """Targets."""
+
+    starts_at: float
+    """Seconds."""
+
+    ends_at: float
+    """Seconds."""
+
+    error_share: float = 0.0
+    """Share of requests that fail."""
+
+    slow_factor: float = 1.0
+    """How much longer work takes."""
+
+    period: float = 0.0
+    """Seconds of one cycle of flapping, half of it sick; 0 for none."""
+
+    seen_by: collections.abc.Callable[[int], bool] = lambda vm: True
+    """Which VMs suffer from it."""
+
+    hangs: bool = False
+    """Whether nothing comes back at all."""
+
+    kind: str = ""
+    """The one kind of work that it hits, or empty for all."""
+
+    def hits(self, vm: int, target: int, kind: str, now: float) -> bool:
+        """Return whether a request suffers from it."""
+        if target not in self.targets or not self.starts_at <= now < self.ends_at:
+            return False
+        if self.kind and kind != self.kind:
+            return False
+        if self.period and (now - self.starts_at) % self.period >= self.period / 2:
+            return False
+        return self.seen_by(vm)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """What became of one request."""
+
+    arrived_at: float
+    """Seconds."""
+
+    took: float
+    """Seconds."""
+
+    weight: float
+    """Worth."""
+
+    is_answered: bool
+    """Whether it got a good answer in time."""
+
+    was_harmed: bool
+    """Whether a fault touched it."""
+
+
+class _Target:
+    """A target with slots, which refuses or queues when they are taken."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.busy = 0
+        self.waiting: list[collections.abc.Callable[[], None]] = []
+        self.refused = 0
+
+
+class _Vm:
+    """One VM: its router, its control plane, and its requests at the door."""
+
+    def __init__(self, number: int, model: Model) -> None:
+        shape = model.shape
+        self.number = number
+        self.name = f"vm-{number:04d}"
+        self.events = timeline.Timeline(self.name)
+        place = f"dc-{number % shape.vm_places}"
+        own = membership.Member(self.name, place, "", 1)
+        self.control = control.Control(own, TRUSTED, 86400.0, self.events)
+        self.router = router.Router(model.service, model.generator, 0.0)
+        self.control.evidence.use_routers({SERVICE: self.router})
+        self.waiting: dict[int, _Request] = {}
+        self.failures: dict[str, int] = {}
+        self.out_until: dict[str, float] = {}
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    """One request under way."""
+
+    vm: _Vm
+    kind: services.Kind
+    arrived_at: float
+    deadline: float
+    plan: attempts.Plan | None = None
+    entered_at: float = 0.0
+    was_harmed: bool = False
+    is_over: bool = False
+
+
+class Model:
+    """A run of the model.
+
+    Parameters
+    ----------
+    shape : Shape
+        Size and load.
+    faults : sequence of Fault
+        What befalls the targets.
+    mode : str
+        `SHARED`, `ALONE`, `NO_EJECTION` or `CONSECUTIVE`.
+    seed : int
+        Seed of all randomness.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        faults: collections.abc.Sequence[Fault] = (),
+        mode: str = SHARED,
+        seed: int = 1,
+    ) -> None:
+        self.shape = shape
+        self.faults = faults
+        self.mode = mode
+        self.generator = random.Random(seed)
+        self.service = _make_service(shape)
+        self.now = 0.0
+        self.done: list[Done] = []
+        self.sent: list[tuple[float, int]] = []
+        self.refusals = 0
+        self.control_messages = 0
+        self.control_bytes = 0
+        self.ejected: list[tuple[float, str]] = []
+        self._numbers = itertools.count()
+        self._heap: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
+        self._targets = [_Target(shape.slots) for _ in range(shape.targets)]
+        self.vms = [_Vm(number, self) for number in range(shape.vms)]
+        self._by_name = {vm.name: vm for vm in self.vms}
+        self._log: list[bytes] = []
+        self._shares = [1 + shape.skew * _tilt(v, shape.vms) for v in range(shape.vms)]
+        self._introduce()
+
+    def run(self, seconds: float) -> None:
+        """Run for some seconds of virtual time."""
+        mean = self.shape.work_time * _mean_factor(self.shape.spread)
+        slots = self.shape.targets * self.shape.slots
+        self._rate = self.shape.load * slots / mean
+        self._at(self.generator.expovariate(self._rate), self._arrive)
+        if self.mode == SHARED:
+            for vm in self.vms:
+                self._at(self.generator.uniform(0, TICK), self._make_tick(vm))
+        while self._heap and self._heap[0][0] <= seconds:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+
+    # Arrivals, the door and the plan.
+
+    def _at(self, time: float, action: collections.abc.Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (time, next(self._numbers), action))
+
+    def _arrive(self) -> None:
+        self._at(self.now + self.generator.expovariate(self._rate), self._arrive)
+        vm = self.generator.choices(self.vms, self._shares)[0]
+        is_keyed = self.generator.random() < self.shape.keyed_share
+        kind = self.service.kinds[int(is_keyed)]
+        deadline = self.now + kind.time_limit
+        request = _Request(vm, kind, self.now, deadline)
+        ticket = admission.Ticket(next(self._numbers), kind.weight, deadline)
+        vm.waiting[ticket.number] = request
+        self._announce(vm, vm.router.admission.enter(ticket, self.now))
+
+    def _announce(self, vm: _Vm, verdicts: list[admission.Verdict]) -> None:
+        for verdict in verdicts:
+            if verdict.entry is admission.Entry.QUEUED:
+                continue
+            request = vm.waiting.pop(verdict.ticket.number)
+            if verdict.entry is admission.Entry.ADMITTED:
+                self._begin(request)
+            else:
+                self._end(request, False)
+
+    def _begin(self, request: _Request) -> None:
+        request.entered_at = self.now
+        chooser = self._make_chooser(request.vm)
+        # The claim is settled elsewhere; here a keyed request starts with its grant.
+        request.plan = attempts.Plan(request.kind, request.deadline, chooser)
+        actions = request.plan.start(self.now)
+        self._act(request, actions)
+
+    def _make_chooser(self, vm: _Vm) -> attempts.Chooser:
+        if self.mode == CONSECUTIVE:
+            return _ConsecutiveChooser(vm)
+        return vm.router
+
+    def _act(self, request: _Request, actions: list[attempts.Action]) -> None:
+        for action in actions:
+            match action:
+                case attempts.Send():
+                    self._send(request, action)
+                case attempts.Relay():
+                    self._leave(request, True)
+                case attempts.Refuse():
+                    self._leave(request, False)
+                case _:
+                    pass
+        plan = request.plan
+        if plan is not None and not plan.has_ended:
+            self._at(plan.find_wake_time(), self._make_wake(request))
+
+    def _make_wake(self, request: _Request) -> collections.abc.Callable[[], None]:
+        def wake() -> None:
+            plan = request.plan
+            if plan is None or plan.has_ended:
+                return
+            if self.now >= plan.find_wake_time():
+                self._act(request, plan.wake(self.now))
+
+        return wake
+
+    def _leave(self, request: _Request, is_answered: bool) -> None:
+        self._end(request, is_answered and self.now <= request.deadline)
+        door = request.vm.router.admission
+        self._announce(request.vm, door.leave(self.now - request.entered_at, self.now))
+
+    def _end(self, request: _Request, is_answered: bool) -> None:
+        if request.is_over:
+            return
+        request.is_over = True
+        self.done.append(
+            Done(
+                request.arrived_at,
+                self.now - request.arrived_at,
+                request.kind.weight,
+                is_answered,
+                request.was_harmed,
+            )
+        )
+
+    # Attempts and targets.
+
+    def _send(self, request: _Request, send: attempts.Send) -> None:
+        vm, name = request.vm, send.target.name
+        index = int(name)
+        vm.router.start(name, is_first=send.attempt == 1)
+        self.sent.append((self.now, index))
+        subject = baselines.Subject(name, request.kind.name)
+        overdue = vm.router.health.find_overdue_after(subject)
+        state = _Attempt(request, send, self.now)
+        if overdue is not None:
+            self._at(self.now + overdue, lambda: self._count_late(state))
+        self._at(request.deadline, lambda: self._expire(state))
+        self._at(self.now + HOP, lambda: self._reach(state, index))
+
+    def _reach(self, state: _Attempt, index: int) -> None:
+        target = self._targets[index]
+        fault = self._find_fault(state, index)
+        if fault is not None and fault.hangs:
+            state.request.was_harmed = True
+            return
+        if target.busy < target.slots:
+            self._work(state, index)
+        elif self.shape.queues:
+            target.waiting.append(lambda: self._work(state, index))
+        else:
+            target.refused += 1
+            self.refusals += 1
+            self._at(self.now + HOP, lambda: self._finish(state, "refused"))
+
+    def _work(self, state: _Attempt, index: int) -> None:
+        target = self._targets[index]
+        target.busy += 1
+        fault = self._find_fault(state, index)
+        spread = self.shape.spread
+        took = self.shape.work_time * self.generator.lognormvariate(0.0, spread)
+        result = "answer"
+        if fault is not None:
+            took *= fault.slow_factor
+            fails = self.generator.random() < fault.error_share
+            result = "error" if fails else "answer"
+            if fails or fault.slow_factor > 1:
+                state.request.was_harmed = True
+        self._at(self.now + took, lambda: self._free(index))
+        self._at(self.now + took + HOP, lambda: self._finish(state, result))
+
+    def _free(self, index: int) -> None:
+        target = self._targets[index]
+        target.busy -= 1
+        if target.waiting:
+            target.waiting.pop(0)()
+
+    def _find_fault(self, state: _Attempt, index: int) -> Fault | None:
+        vm, kind = state.request.vm.number, state.request.kind.name
+        for fault in self.faults:
+            if fault.hits(vm, index, kind, self.now):
+                return fault
+        return None
+
+    def _count_late(self, state: _Attempt) -> None:
+        if not state.is_over and not state.was_counted:
+            state.was_counted = True
+            self._observe(state, evidence.Sign.SLOW)
+
+    def _expire(self, state: _Attempt) -> None:
+        if not state.is_over:
+            state.is_over = True
+            state.request.vm.router.end(state.send.target.name)
+            self._observe(state, evidence.Sign.ERROR)
+
+    def _finish(self, state: _Attempt, result: str) -> None:
+        if state.is_over:
+            return
+        state.is_over = True
+        request, send = state.request, state.send
+        vm, name = request.vm, send.target.name
+        vm.router.end(name)
+        plan = request.plan
+        if plan is None:
+            return
+        if result == "refused":
+            vm.router.take_shed(name, self.now)
+            failure = attempts.Failure.REFUSED
+            self._act(request, plan.take_failure(send.attempt, failure, self.now))
+            return
+        if result == "error":
+            # A server error in idempotent work: worth another try elsewhere.
+            self._observe(state, evidence.Sign.ERROR)
+            failure = attempts.Failure.CUT
+            self._act(request, plan.take_failure(send.attempt, failure, self.now))
+            return
+        subject = baselines.Subject(name, request.kind.name)
+        sign = vm.router.health.judge_latency(subject, self.now - state.sent_at)
+        if not state.was_counted:
+            self._observe(state, sign)
+        vm.router.admission.take_success()
+        self._act(request, plan.take_answer(send.attempt, 200, self.now))
+
+    def _observe(self, state: _Attempt, sign: evidence.Sign) -> None:
+        vm, name = state.request.vm, state.send.target.name
+        if self.mode == CONSECUTIVE:
+            _count_consecutive(vm, name, sign, self.now)
+        elif self.mode != NO_EJECTION:
+            vm.router.observe(name, state.request.kind.name, sign, self.now)
+
+    # The fleet.
+
+    def _introduce(self) -> None:
+        sightings = tuple(vm.control.members.own_sighting for vm in self.vms)
+        for vm in self.vms:
+            for sighting in sightings:
+                vm.control.members.take_sighting(sighting, 0.0)
+
+    def _make_tick(self, vm: _Vm) -> collections.abc.Callable[[], None]:
+        def tick() -> None:
+            self._at(self.now + TICK, tick)
+            self._carry_out(vm, vm.control.tick(self.now))
+
+        return tick
+
+    def _carry_out(
+        self, vm: _Vm, actions: collections.abc.Sequence[control_actions.Action]
+    ) -> None:
+        for action in actions:
+            match action:
+                case control_actions.Tell():
+                    self._deliver(vm, action)
+                case control_actions.AppendConfig():
+                    self._at(self.now + 0.005, self._make_append(action.data))
+                case _:
+                    pass
+
+    def _deliver(self, vm: _Vm, action: control_actions.Tell) -> None:
+        self.control_messages += 1
+        self.control_bytes += len(peer_messages.encode(action.message))
+        receiver = self._by_name[action.vm]
+
+        def take() -> None:
+            message = action.message
+            actions = receiver.control.take_message(vm.name, message, self.now)
+            self._carry_out(receiver, actions)
+
+        self._at(self.now + 2 * HOP, take)
+
+    def _make_append(self, data: bytes) -> collections.abc.Callable[[], None]:
+        def append() -> None:
+            """Grant by the rule, apart from bundles, which the model does not have."""
+            ejection = ejections.read(data)
+            if ejection is None or not self._has_room(ejection):
+                return
+            self.ejected.append((self.now, ejection.target))
+            for vm in self.vms:
+                vm.control.config.ejections.grant(ejection)
+
+        return append
+
+    def _has_room(self, ejection: ejections.Ejection) -> bool:
+        ledger = self.vms[0].control.config.ejections
+        return not ledger.find_objection(ejection, self.service)
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One attempt under way."""
+
+    request: _Request
+    send: attempts.Send
+    sent_at: float
+    is_over: bool = False
+    was_counted: bool = False
+
+
+class _ConsecutiveChooser:
+    """The usual baseline: N errors in a row, then out for a fixed time, VM by VM."""
+
+    def __init__(self, vm: _Vm) -> None:
+        self._vm = vm
+
+    def choose(
+        self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
+    ) -> services.Target | None:
+        """Return a target that is not out on this VM."""
+        out = {name for name, until in self._vm.out_until.items() if until > now}
+        return self._vm.router.choose(kind, out | excluded, now) or (
+            self._vm.router.choose(kind, excluded, now)
+        )
+
+    def may_retry(self, failure: attempts.Failure, now: float) -> bool:
+        """Return what the router allows."""
+        return self._vm.router.may_retry(failure, now)
+
+    def find_pause_end(self, now: float) -> float:
+        """Return what the router says."""
+        return self._vm.router.find_pause_end(now)
+
+    def may_hedge(self, now: float) -> bool:
+        """Return False: the baseline does not hedge."""
+        return False
+
+    def find_hedge_time(
+        self, kind: services.Kind, target: services.Target, now: float
+    ) -> float | None:
+        """Return None: the baseline does not hedge."""
+        return None
+
+
+CONSECUTIVE_ERRORS = 5
+CONSECUTIVE_OUT_FOR = 30.0
+
+
+def _count_consecutive(vm: _Vm, name: str, sign: evidence.Sign, now: float) -> None:
+    if sign is evidence.Sign.GOOD:
+        vm.failures[name] = 0
+        return
+    if sign is evidence.Sign.SLOW:
+        return
+    vm.failures[name] = vm.failures.get(name, 0) + 1
+    out = sum(until > now for until in vm.out_until.values())
+    most = len(vm.router.service.targets) // 3
+    if vm.failures[name] >= CONSECUTIVE_ERRORS and out < most:
+        vm.failures[name] = 0
+        vm.out_until[name] = now + CONSECUTIVE_OUT_FOR
+
+
+def _mean_factor(spread: float) -> float:
+    return 2.718281828459045 ** (spread * spread / 2)
+
+
+def _tilt(number: int, count: int) -> float:
+    return 2.0 * number / max(1, count - 1) - 1.0
+
+
+def _make_service(shape: Shape) -> services.Service:
+    limit = shape.work_time * PATIENCE_FACTOR
+    kinds = (
+        services.Kind("lookup", services.Work.IDEMPOTENT, limit, 1.0),
+        services.Kind("order", services.Work.IDEMPOTENT, limit, 5.0),
+    )
+    targets = tuple(
+        services.Target(
+            str(number),
+            "127.0.0.1",
+            1000 + number,
+            f"dc-{number % shape.vm_places}",
+            shape.slots,
+            False,
+        )
+        for number in range(shape.targets)
+    )
+    total = shape.targets * shape.slots
+    return services.Service(
+        name=SERVICE,
+        floor_slots=int(shape.floor_share * total),
+        detection_weight=shape.detection_weight,
+        max_in_flight=total,
+        max_queue=64,
+        echo_header="",
+        probe_path="/health",
+        not_started=services.NotStartedRule(503, "x-not-started"),
+        kinds=kinds,
+        routes=(),
+        targets=targets,
+    )
--- a/packages/zinniastand-core/src/zinniastand_core/attempts.py
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -14,6 +14,8 @@
 from . import claim_ledger, claim_records, claimer, outcomes, services
 
 MAX_ATTEMPTS = 4
+MAX_REFUSALS = 8
+REFUSALS_BEFORE_PAUSE = 3
 REFUSED_PAUSE = 0.25
 OUTAGE_PAUSE = 5.0
 
@@ -119,14 +121,18 @@
         """Return a target for the next attempt, or None where none may have it."""
         ...
 
-    def may_retry(self, now: float) -> bool:
-        """Return whether the retry budget allows one more attempt, and spend it."""
+    def may_retry(self, failure: Failure, now: float) -> bool:
+        """Return whether a budget allows one more attempt, and spend it."""
         ...
 
     def may_hedge(self, now: float) -> bool:
         """Return whether the hedge budget allows one more, and spend it."""
         ...
 
+    def find_pause_end(self, now: float) -> float:
+        """Return when to try again after several targets had no free slot."""
+        ...
+
     def find_hedge_time(
         self, kind: services.Kind, target: services.Target, now: float
     ) -> float | None:
@@ -173,6 +179,8 @@
         self._live: dict[int, _Live] = {}
         self._excluded: set[str] = set()
         self._attempts = 0
+        self._refusals = 0
+        self._resume_at: float | None = None
         self._may_have_run = False
         self._claim_pending = False
         self._last_failure: Failure | None = None
@@ -201,6 +209,8 @@
         """Return when `wake` is due: a hedge, the start deadline or the deadline."""
         if self._claim_pending:
             return min(self._start_deadline, self._deadline)
+        if self._resume_at is not None:
+            return min(self._resume_at, self._start_deadline, self._deadline)
         times = [live.hedge_at for live in self._live.values() if live.hedge_at]
         return min([self._deadline, *times])
 
@@ -254,7 +264,9 @@
         if failure is Failure.SILENT and live.freshness is Freshness.ANY:
             return self._repeat_on_new(live, now)
         self._excluded.add(live.target.name)
-        if self._may_run_again() and self._may_attempt(now):
+        if failure is Failure.REFUSED:
+            return self._try_after_refusal(now)
+        if self._may_run_again() and self._may_attempt(failure, now):
             return self._send_next(now)
         return self._finish_without_answer(now)
 
@@ -267,6 +279,8 @@
             return self._give_up_claim(now)
         if now >= self._deadline:
             return self._finish_without_answer(now)
+        if self._resume_at is not None:
+            return self._resume(now)
         return self._hedge(now)
 
     def abandon(self, now: float) -> list[Action]:
@@ -279,6 +293,29 @@
             if not isinstance(action, Refuse)
         ]
 
+    def _try_after_refusal(self, now: float) -> list[Action]:
+        """Try another target at once, or after a pause where several were full.
+
+        With few slots shared by many VMs a full target is an everyday thing; the
+        refusal is exact and cheap, and a slot is soon free again.
+        """
+        self._refusals += 1
+        if not self._may_run_again() or self._refusals >= MAX_REFUSALS:
+            return self._finish_without_answer(now)
+        if not self._chooser.may_retry(Failure.REFUSED, now):
+            return self._finish_without_answer(now)
+        if self._refusals % REFUSALS_BEFORE_PAUSE:
+            return self._send_next(now)
+        self._resume_at = self._chooser.find_pause_end(now)
+        return []
+
+    def _resume(self, now: float) -> list[Action]:
+        if self._resume_at is None or now < self._resume_at:
+            return []
+        self._resume_at = None
+        self._excluded.clear()
+        return self._send_next(now)
+
     def _send_next(self, now: float) -> list[Action]:
         # A holder that was paused wakes up here. Its claim is on the log, but it may
         # not start any more: callers were told when the work can no longer begin.
@@ -306,7 +343,7 @@
         A pooled connection can go silent for good while new ones work. Only a new
         connection tells the two apart, and costs about a millisecond.
         """
-        if now >= self._deadline or not self._may_attempt(now):
+        if now >= self._deadline or not self._may_attempt(Failure.SILENT, now):
             return self._finish_without_answer(now)
         return [self._send(live.target, Freshness.NEW, now)]
 
@@ -326,8 +363,9 @@
             return []
         return [self._send(target, Freshness.ANY, now)]
 
-    def _may_attempt(self, now: float) -> bool:
-        return self._attempts < MAX_ATTEMPTS and self._chooser.may_retry(now)
+    def _may_attempt(self, failure: Failure, now: float) -> bool:
+        tries = self._attempts - self._refusals
+        return tries < MAX_ATTEMPTS and self._chooser.may_retry(failure, now)
 
     def _may_run_again(self) -> bool:
         return self._claim is None or not self._may_have_run
--- a/packages/zinniastand-core/src/zinniastand_core/ejections.py
+++ b/packages/zinniastand-core/src/zinniastand_core/ejections.py
@@ -11,6 +11,8 @@
 import dataclasses
 import typing
 
+import expression
+
 from . import bundles, codec, services
 
 EJECTION = "ejection"
@@ -67,15 +69,21 @@
 
     def apply(self, ejection: Ejection, bundle: bundles.Bundle) -> Decision:
         """Rule on the next ejection of the log."""
-        reason = self._object(ejection, bundle)
-        if reason:
-            return Decision(ejection, False, reason)
+        service = bundle.find_service(ejection.service)
+        if service is None:
+            return Decision(ejection, False, "no such service")
+        reason = self.find_objection(ejection, service)
+        if not reason:
+            self.grant(ejection)
+        return Decision(ejection, not reason, reason)
+
+    def grant(self, ejection: Ejection) -> None:
+        """Put an ejection in force that nothing objects to."""
         self._granted = [e for e in self._granted if _holds(e, ejection.proposed_at)]
         self._granted.append(ejection)
         key = (ejection.service, ejection.target)
         count, _ = self._last.get(key, (0, ejection))
         self._last[key] = (count + 1, ejection)
-        return Decision(ejection, True, "")
 
     def revoke_for(self, bundle: bundles.Bundle, now: float) -> list[Ejection]:
         """Revoke the latest grants that a new bundle leaves no room for."""
@@ -120,10 +128,8 @@
             return 0
         return known[0]
 
-    def _object(self, ejection: Ejection, bundle: bundles.Bundle) -> str:
-        service = bundle.find_service(ejection.service)
-        if service is None:
-            return "no such service"
+    def find_objection(self, ejection: Ejection, service: services.Service) -> str:
+        """Return why an ejection is not granted, or an empty string."""
         target = service.find_target(ejection.target)
         if target is None:
             return "no such target"
@@ -193,3 +199,12 @@
             )
         case _:
             return None
+
+
+def read(data: bytes) -> Ejection | None:
+    """Return the ejection in a log record, or None."""
+    match codec.decode(data):
+        case expression.Result(tag="ok", ok=[kind, body]) if kind == EJECTION:
+            return unpack(body)
+        case _:
+            return None
--- a/packages/zinniastand-core/src/zinniastand_core/evidence.py
+++ b/packages/zinniastand-core/src/zinniastand_core/evidence.py
@@ -78,6 +78,7 @@
     good: float
 
     def move(self, tally: Tally) -> float:
+        """Return by how much the outcomes move the score."""
         return (
             tally.error * self.error + tally.slow * self.slow + tally.good * self.good
         )
--- a/packages/zinniastand-core/src/zinniastand_core/evidence_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/evidence_exchange.py
@@ -165,7 +165,11 @@
     def _collect(
         self, name: str, routing: router.Router, now: float
     ) -> tuple[evidence_pool.Report, ...]:
-        """Return what is worth telling: accusations, and answers to accusations."""
+        """Return all fresh outcomes.
+
+        The good ones matter as much: told only of the bad, a pool would sum up the
+        bad luck of many VMs, and condemn healthy targets (see docs/DETECTION.md).
+        """
         fresh = routing.health.take_fresh()
         targets = [target.name for target in routing.service.targets]
         doubts = routing.health.doubts_itself(targets, now)
@@ -173,10 +177,7 @@
         if doubts:
             return ()
         return tuple(
-            evidence_pool.Report(subject, tally, routing.health.find_baseline(subject))
-            for subject, tally in fresh.items()
-            if tally.error + tally.slow > 0
-            or routing.find_level(subject.target, now) > 0.0
+            evidence_pool.Report(subject, tally) for subject, tally in fresh.items()
         )
 
     def _note_doubt(self, name: str, doubts: bool, now: float) -> None:
--- a/packages/zinniastand-core/src/zinniastand_core/evidence_pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/evidence_pool.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 
-from . import evidence, health
+from . import baselines, evidence
 
 OBSERVERS_NEEDED = 3
 DATA_CENTRE_SHARE = 0.7
@@ -45,15 +45,12 @@
 class Report:
     """Fresh outcomes of one target and kind, from one VM."""
 
-    subject: health.Subject
+    subject: baselines.Subject
     """What they are about."""
 
     tally: evidence.Tally
     """Outcomes since this VM's last report."""
 
-    baseline: evidence.Baseline
-    """How the other targets did, as that VM sees them."""
-
 
 class _Case:
     """What has been pooled about one subject."""
@@ -75,10 +72,12 @@
 
     def __init__(self, threshold: float) -> None:
         self.threshold = threshold
-        self._cases: dict[health.Subject, _Case] = {}
+        self._cases: dict[baselines.Subject, _Case] = {}
+        self._baselines = baselines.Baselines()
 
     def add(self, observer: Observer, report: Report, now: float) -> None:
         """Take in what one observer saw."""
+        self._baselines.add(report.subject, report.tally)
         accuses = report.tally.error + report.tally.slow > 0
         case = self._cases.get(report.subject)
         if case is None:
@@ -86,7 +85,7 @@
                 return
             case = self._cases[report.subject] = _Case()
         before = case.score.level
-        case.score.add(report.tally, report.baseline)
+        case.score.add(report.tally, self._baselines.find(report.subject))
         case.moved_at = now
         gained = case.score.level - before
         if gained > 0:
@@ -94,7 +93,7 @@
         elif case.score.level == 0.0:
             case.accusations.clear()
 
-    def find_level(self, subject: health.Subject, watch: Watch, now: float) -> float:
+    def find_level(self, subject: baselines.Subject, watch: Watch, now: float) -> float:
         """Return the score that the accusations of several observers support."""
         case = self._cases.get(subject)
         if case is None or now - case.moved_at > MEMORY:
@@ -143,6 +142,7 @@
         """Drop what was pooled about a target."""
         for subject in [s for s in self._cases if s.target == target]:
             del self._cases[subject]
+        self._baselines.forget(target)
 
     def _find_support(self, case: _Case, watch: Watch) -> float:
         """Return the accusations, with the share of any one source bounded."""
--- a/packages/zinniastand-core/src/zinniastand_core/latencies.py
+++ b/packages/zinniastand-core/src/zinniastand_core/latencies.py
@@ -42,13 +42,6 @@
             self._limits[target] = self._work_out_limit(target)
         return self._limits[target]
 
-    def find_typical(self) -> float | None:
-        """Return the median latency over all targets, or None with no sample."""
-        if not self._samples:
-            return None
-        values = sorted(latency for _, latency in self._samples)
-        return values[len(values) // 2]
-
     def _work_out_limit(self, target: str) -> float | None:
         others = sorted(value for name, value in self._samples if name != target)
         if len(others) < LEAST_SAMPLES:
--- a/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
@@ -39,11 +39,17 @@
         self._links: dict[str, _Link] = {}
         self._doubted_links: dict[str, float] = {}
         self._reunion_at = 0.0
+        self._ring: list[str] | None = None
+        self._neighbours: list[str] = []
 
     def list_neighbours(self, now: float) -> list[str]:
         """Return the VMs that this one calls."""
         names = [member.vm for member in self.members.list_callable(now)]
-        return overlay.pick_neighbours(self.members.own.vm, names)
+        if names != self._ring:
+            self._ring = names
+            own = self.members.own.vm
+            self._neighbours = overlay.pick_neighbours(own, names)
+        return list(self._neighbours)
 
     def make_beats(self, next_offset: int, version: int, now: float) -> Actions:
         """Return the heartbeats that are due."""
--- a/packages/zinniastand-core/src/zinniastand_core/membership.py
+++ b/packages/zinniastand-core/src/zinniastand_core/membership.py
@@ -79,6 +79,8 @@
         self._sightings: dict[str, Sighting] = {}
         self._listed: dict[str, tuple[Member, float]] = {}
         self._forget_at: dict[str, float] = {}
+        self._digest: bytes | None = None
+        self._alive: list[Member] | None = None
 
     @property
     def own_sighting(self) -> Sighting:
@@ -90,6 +92,7 @@
         self._own_sighting = dataclasses.replace(
             self._own_sighting, status=Status.LEAVING
         )
+        self._forget_views()
         return self._own_sighting
 
     def take_list(self, members: collections.abc.Iterable[Member], now: float) -> None:
@@ -108,6 +111,7 @@
         if known is not None and sighting.rank <= known.rank:
             return None
         self._sightings[sighting.member.vm] = sighting
+        self._forget_views()
         if sighting.status is Status.ALIVE:
             self._forget_at.pop(sighting.member.vm, None)
         else:
@@ -135,6 +139,11 @@
 
     def list_alive(self) -> list[Member]:
         """Return the other members that were seen and are thought to be up."""
+        if self._alive is None:
+            self._alive = self._find_alive()
+        return self._alive
+
+    def _find_alive(self) -> list[Member]:
         return [
             self._sightings[vm].member
             for vm in sorted(self._sightings)
@@ -155,6 +164,15 @@
 
     def digest(self) -> bytes:
         """Return a digest of all news, equal where two VMs know the same."""
+        if self._digest is None:
+            self._digest = self._work_out_digest()
+        return self._digest
+
+    def _forget_views(self) -> None:
+        self._digest = None
+        self._alive = None
+
+    def _work_out_digest(self) -> bytes:
         total = 0
         for sighting in self.list_sightings():
             content = f"{sighting.member.vm}\0{sighting.rank}".encode()
@@ -179,6 +197,7 @@
                 del self._forget_at[vm]
                 self._sightings.pop(vm, None)
                 self._listed.pop(vm, None)
+                self._forget_views()
 
     def _contradict(self, sighting: Sighting) -> Sighting | None:
         own = self._own_sighting
@@ -188,4 +207,5 @@
             # This VM was paused and has been replaced under its name.
             return None
         self._own_sighting = dataclasses.replace(own, beat=sighting.beat + 1)
+        self._forget_views()
         return self._own_sighting
--- a/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
@@ -8,18 +8,19 @@
 import expression
 
 from . import (
+    baselines,
     claim_ledger,
     claim_records,
     claimer,
     codec,
     evidence,
     evidence_pool,
-    health,
     hybrid_clock,
     membership,
 )
 
 MILLI = 1000
+MOST_OUTCOMES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,28 +319,18 @@
 
 
 def _pack_report(report: evidence_pool.Report) -> list[object]:
-    tally, baseline = report.tally, report.baseline
-    return [
-        report.subject.target,
-        report.subject.kind,
-        [tally.good, tally.error, tally.slow],
-        [round(baseline.error_rate * MILLI), round(baseline.slow_rate * MILLI)],
-    ]
+    tally = report.tally
+    counts = [tally.good, tally.error, tally.slow]
+    return [report.subject.target, report.subject.kind, *counts]
 
 
 def _read_report(value: typing.Any) -> evidence_pool.Report:
     match value:
-        case [
-            str(target),
-            str(kind),
-            [int(good), int(error), int(slow)],
-            [int(error_rate), int(slow_rate)],
-        ] if min(good, error, slow, error_rate, slow_rate) >= 0:
-            return evidence_pool.Report(
-                health.Subject(target, kind),
-                evidence.Tally(good, error, slow),
-                evidence.Baseline(error_rate / MILLI, slow_rate / MILLI),
-            )
+        case [str(target), str(kind), int(good), int(error), int(slow)] if (
+            min(good, error, slow) >= 0 and max(good, error, slow) < MOST_OUTCOMES
+        ):
+            subject = baselines.Subject(target, kind)
+            return evidence_pool.Report(subject, evidence.Tally(good, error, slow))
         case _:
             raise TypeError("expected a report")
 
--- a/packages/zinniastand-core/src/zinniastand_core/router.py
+++ b/packages/zinniastand-core/src/zinniastand_core/router.py
@@ -6,10 +6,21 @@
 import random
 import typing
 
-from . import admission, budgets, choice, evidence, health, services, steering
+from . import (
+    admission,
+    attempts,
+    baselines,
+    budgets,
+    choice,
+    evidence,
+    health,
+    services,
+    steering,
+)
 
 COLD_START = 5.0
 SHED_PAUSE = 0.05
+WEIGHTS_VALID_FOR = 0.05
 DRAIN_MEMORY = 30.0
 
 
@@ -39,6 +50,10 @@
         self._leaving_until: dict[str, float] = {}
         self._ejected: set[str] = set()
         self._pooled: dict[str, tuple[float, float]] = {}
+        self._weighted: tuple[float, list[steering.Weighted]] | None = None
+        self._refusals = budgets.ShareBudget(
+            budgets.REFUSAL_SHARE, budgets.REFUSAL_RESERVE
+        )
         self._retries = budgets.ShareBudget(budgets.RETRY_SHARE, budgets.RETRY_RESERVE)
         self._hedges = budgets.ShareBudget(budgets.HEDGE_SHARE, budgets.HEDGE_RESERVE)
 
@@ -58,6 +73,7 @@
         self.health.threshold = evidence.find_threshold(service.detection_weight)
         self.admission.resize(service.max_in_flight, service.max_queue)
         self.service = service
+        self._weighted = None
 
     def choose(
         self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
@@ -70,8 +86,15 @@
         free = [w for w in weighted if self._shed_until.get(w.target.name, 0) <= now]
         return choice.draw(free or weighted, self._in_flight, self._generator)
 
-    def may_retry(self, now: float) -> bool:
-        """Return whether the retry budget allows one more attempt, and spend it."""
+    def may_retry(self, failure: attempts.Failure, now: float) -> bool:
+        """Return whether a budget allows one more attempt, and spend it.
+
+        A refusal costs a target nearly nothing and tells for certain that its slots
+        are taken, so those tries have a wide budget. A try after any other failure
+        adds real work, and an overload must not feed itself.
+        """
+        if failure is attempts.Failure.REFUSED:
+            return self._refusals.spend()
         return self._retries.spend()
 
     def may_hedge(self, now: float) -> bool:
@@ -85,12 +108,22 @@
         self, kind: services.Kind, target: services.Target, now: float
     ) -> float | None:
         """Return when a second attempt is worth starting, or None."""
-        subject = health.Subject(target.name, kind.name)
+        subject = baselines.Subject(target.name, kind.name)
         after = self.health.find_overdue_after(subject)
         return None if after is None else now + after
 
     def weigh(self, now: float) -> list[steering.Weighted]:
-        """Return the targets that may get work, with their weights."""
+        """Return the targets that may get work, with their weights.
+
+        The list is kept for a moment, or until something speaks against a target:
+        working it out for each request would cost more than all other decisions.
+        """
+        if self._weighted is None or self._weighted[0] <= now:
+            weighted = self._work_out_weights(now)
+            self._weighted = (now + WEIGHTS_VALID_FOR, weighted)
+        return self._weighted[1]
+
+    def _work_out_weights(self, now: float) -> list[steering.Weighted]:
         conditions = [
             steering.Condition(
                 target,
@@ -117,6 +150,7 @@
     def take_pooled(self, target: str, level: float, valid_until: float) -> None:
         """Take in the score that several VMs' evidence supports."""
         self._pooled[target] = (level, valid_until)
+        self._weighted = None
 
     def list_ejected(self) -> set[str]:
         """Return the targets that are ejected now."""
@@ -128,17 +162,21 @@
             self._warm_at[name] = now + COLD_START
             self.health.forget(name, level=self.health.threshold * steering.EASY)
             self._pooled.pop(name, None)
+        if ejected != self._ejected:
+            self._weighted = None
         self._ejected = set(ejected)
 
     def take_leaving(self, target: str, now: float) -> None:
         """Take in that a target, or the VM list, says that the target is leaving."""
         self._leaving_until[target] = now + DRAIN_MEMORY
+        self._weighted = None
 
     def start(self, target: str, is_first: bool) -> None:
         """Take in that an attempt was sent."""
         self._in_flight[target] += 1
         if is_first:
             self._retries.feed()
+            self._refusals.feed()
             self._hedges.feed()
 
     def end(self, target: str) -> None:
@@ -150,14 +188,24 @@
     def take_shed(self, target: str, now: float) -> None:
         """Take in that a target refused for lack of slots, which is not a fault."""
         self._shed_until[target] = now + SHED_PAUSE
+
+    def find_pause_end(self, now: float) -> float:
+        """Return when to try again after several targets had no free slot.
+
+        That several were full at once says that the fleet sends more than there are
+        slots, so this VM lets fewer requests in.
+        """
         self.admission.take_refusal(now)
+        return now + self._generator.uniform(SHED_PAUSE / 2, 2 * SHED_PAUSE)
 
     def observe(self, target: str, kind: str, sign: evidence.Sign, now: float) -> None:
         """Take in evidence for or against a target."""
         is_cold = self._find_warmth(target, now) < 1.0
         if is_cold and sign is evidence.Sign.SLOW:
             return
-        self.health.observe(health.Subject(target, kind), sign, now)
+        self.health.observe(baselines.Subject(target, kind), sign, now)
+        if sign is not evidence.Sign.GOOD:
+            self._weighted = None
 
     def _find_warmth(self, target: str, now: float) -> float:
         remaining = self._warm_at.get(target, now) - now
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
@@ -11,10 +11,10 @@
 
 from zinniastand_core import (
     attempts,
+    baselines,
     claim_records,
     claimer,
     evidence,
-    health,
     outcomes,
     router,
     services,
@@ -207,7 +207,7 @@
         scope = self._scopes[send.attempt] = anyio.CancelScope()
         name = self._targets[send.attempt] = send.target.name
         self._routing.start(name, is_first=send.attempt == 1)
-        subject = health.Subject(name, self._kind.name)
+        subject = baselines.Subject(name, self._kind.name)
         overdue_after = self._routing.health.find_overdue_after(subject)
         if overdue_after is not None:
             self._overdue_at[send.attempt] = self._tools.timer.now() + overdue_after
@@ -281,7 +281,7 @@
         if answer.status >= LEAST_SERVER_ERROR:
             self._routing.observe(name, kind, evidence.Sign.ERROR, now)
             return
-        sign = self._routing.health.judge_latency(health.Subject(name, kind), took)
+        sign = self._routing.health.judge_latency(baselines.Subject(name, kind), took)
         if not was_counted:
             self._routing.observe(name, kind, sign, now)
         self._routing.admission.take_success()
