Wait for a slot as long as an answer can still come in time

Cause: at 95% load one request in ten was given up after eight full targets with most of its time left; the refusal budget was at its cap of 1.5 tries a request. Change: three tries at once, then one after each pause, until the typical latency no longer fits before the deadline; the budget for refusals is gone, pauses bound them.

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -512,13 +512,15 @@
             self._vm.router.choose(kind, excluded, now)
         )
 
-    def may_retry(self, failure: attempts.Failure, now: float) -> bool:
+    def may_retry(self, now: float) -> bool:
         """Return what the router allows."""
-        return self._vm.router.may_retry(failure, now)
+        return self._vm.router.may_retry(now)
 
-    def find_pause_end(self, now: float) -> float:
+    def find_pause_end(
+        self, kind: services.Kind, deadline: float, now: float
+    ) -> float | None:
         """Return what the router says."""
-        return self._vm.router.find_pause_end(now)
+        return self._vm.router.find_pause_end(kind, deadline, now)
 
     def may_hedge(self, now: float) -> bool:
         """Return False: the baseline does not hedge."""
--- a/packages/zinniastand-core/src/zinniastand_core/attempts.py
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -14,7 +14,6 @@
 from . import claim_ledger, claim_records, claimer, outcomes, services
 
 MAX_ATTEMPTS = 4
-MAX_REFUSALS = 8
 REFUSALS_BEFORE_PAUSE = 3
 REFUSED_PAUSE = 0.25
 OUTAGE_PAUSE = 5.0
@@ -121,16 +120,21 @@
         """Return a target for the next attempt, or None where none may have it."""
         ...
 
-    def may_retry(self, failure: Failure, now: float) -> bool:
-        """Return whether a budget allows one more attempt, and spend it."""
+    def may_retry(self, now: float) -> bool:
+        """Return whether the retry budget allows one more attempt, and spend it."""
         ...
 
     def may_hedge(self, now: float) -> bool:
         """Return whether the hedge budget allows one more, and spend it."""
         ...
 
-    def find_pause_end(self, now: float) -> float:
-        """Return when to try again after several targets had no free slot."""
+    def find_pause_end(
+        self, kind: services.Kind, deadline: float, now: float
+    ) -> float | None:
+        """Return when to try again after several targets had no free slot.
+
+        None where an answer could not come in time any more.
+        """
         ...
 
     def find_hedge_time(
@@ -266,7 +270,7 @@
         self._excluded.add(live.target.name)
         if failure is Failure.REFUSED:
             return self._try_after_refusal(now)
-        if self._may_run_again() and self._may_attempt(failure, now):
+        if self._may_run_again() and self._may_attempt(now):
             return self._send_next(now)
         return self._finish_without_answer(now)
 
@@ -300,14 +304,12 @@
         refusal is exact and cheap, and a slot is soon free again.
         """
         self._refusals += 1
-        if not self._may_run_again() or self._refusals >= MAX_REFUSALS:
-            return self._finish_without_answer(now)
-        if not self._chooser.may_retry(Failure.REFUSED, now):
+        if not self._may_run_again():
             return self._finish_without_answer(now)
-        if self._refusals % REFUSALS_BEFORE_PAUSE:
+        if self._refusals < REFUSALS_BEFORE_PAUSE:
             return self._send_next(now)
-        self._resume_at = self._chooser.find_pause_end(now)
-        return []
+        self._resume_at = self._chooser.find_pause_end(self._kind, self._deadline, now)
+        return self._finish_without_answer(now) if self._resume_at is None else []
 
     def _resume(self, now: float) -> list[Action]:
         if self._resume_at is None or now < self._resume_at:
@@ -343,7 +345,7 @@
         A pooled connection can go silent for good while new ones work. Only a new
         connection tells the two apart, and costs about a millisecond.
         """
-        if now >= self._deadline or not self._may_attempt(Failure.SILENT, now):
+        if now >= self._deadline or not self._may_attempt(now):
             return self._finish_without_answer(now)
         return [self._send(live.target, Freshness.NEW, now)]
 
@@ -363,9 +365,9 @@
             return []
         return [self._send(target, Freshness.ANY, now)]
 
-    def _may_attempt(self, failure: Failure, now: float) -> bool:
+    def _may_attempt(self, now: float) -> bool:
         tries = self._attempts - self._refusals
-        return tries < MAX_ATTEMPTS and self._chooser.may_retry(failure, now)
+        return tries < MAX_ATTEMPTS and self._chooser.may_retry(now)
 
     def _may_run_again(self) -> bool:
         return self._claim is None or not self._may_have_run
--- a/packages/zinniastand-core/src/zinniastand_core/budgets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/budgets.py
@@ -4,8 +4,6 @@
 
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 10.0
-REFUSAL_SHARE = 1.5
-REFUSAL_RESERVE = 30.0
 HEDGE_SHARE = 0.05
 HEDGE_RESERVE = 3.0
 
--- a/packages/zinniastand-core/src/zinniastand_core/health.py
+++ b/packages/zinniastand-core/src/zinniastand_core/health.py
@@ -61,6 +61,11 @@
         limit = known.find_limit(subject.target) if known else None
         return None if limit is None else OVERDUE_FACTOR * limit
 
+    def find_typical_latency(self, kind: str) -> float | None:
+        """Return the median latency of a kind, or None while unknown."""
+        known = self._latencies.get(kind)
+        return known.find_typical() if known else None
+
     def observe(
         self, subject: baselines.Subject, sign: evidence.Sign, now: float
     ) -> None:
--- a/packages/zinniastand-core/src/zinniastand_core/latencies.py
+++ b/packages/zinniastand-core/src/zinniastand_core/latencies.py
@@ -23,6 +23,7 @@
         )
         self._age = 0
         self._limits: dict[str, float | None] = {}
+        self._typical: float | None = None
 
     def add(self, target: str, latency: float) -> None:
         """Take in one whole answer."""
@@ -31,6 +32,7 @@
         if self._age >= REFRESH_AFTER:
             self._age = 0
             self._limits.clear()
+            self._typical = None
 
     def find_limit(self, target: str) -> float | None:
         """Return the latency in seconds above which an answer of `target` is slow.
@@ -42,6 +44,13 @@
             self._limits[target] = self._work_out_limit(target)
         return self._limits[target]
 
+    def find_typical(self) -> float | None:
+        """Return the median latency over all targets, or None while unknown."""
+        if self._typical is None and self._samples:
+            values = sorted(latency for _, latency in self._samples)
+            self._typical = values[len(values) // 2]
+        return self._typical
+
     def _work_out_limit(self, target: str) -> float | None:
         others = sorted(value for name, value in self._samples if name != target)
         if len(others) < LEAST_SAMPLES:
--- a/packages/zinniastand-core/src/zinniastand_core/router.py
+++ b/packages/zinniastand-core/src/zinniastand_core/router.py
@@ -8,7 +8,6 @@
 
 from . import (
     admission,
-    attempts,
     baselines,
     budgets,
     choice,
@@ -51,9 +50,6 @@
         self._ejected: set[str] = set()
         self._pooled: dict[str, tuple[float, float]] = {}
         self._weighted: tuple[float, list[steering.Weighted]] | None = None
-        self._refusals = budgets.ShareBudget(
-            budgets.REFUSAL_SHARE, budgets.REFUSAL_RESERVE
-        )
         self._retries = budgets.ShareBudget(budgets.RETRY_SHARE, budgets.RETRY_RESERVE)
         self._hedges = budgets.ShareBudget(budgets.HEDGE_SHARE, budgets.HEDGE_RESERVE)
 
@@ -86,15 +82,12 @@
         free = [w for w in weighted if self._shed_until.get(w.target.name, 0) <= now]
         return choice.draw(free or weighted, self._in_flight, self._generator)
 
-    def may_retry(self, failure: attempts.Failure, now: float) -> bool:
-        """Return whether a budget allows one more attempt, and spend it.
+    def may_retry(self, now: float) -> bool:
+        """Return whether the retry budget allows one more attempt, and spend it.
 
-        A refusal costs a target nearly nothing and tells for certain that its slots
-        are taken, so those tries have a wide budget. A try after any other failure
-        adds real work, and an overload must not feed itself.
+        Refusals for lack of slots do not come here: they cost a target next to
+        nothing, and pauses keep them few.
         """
-        if failure is attempts.Failure.REFUSED:
-            return self._refusals.spend()
         return self._retries.spend()
 
     def may_hedge(self, now: float) -> bool:
@@ -176,7 +169,6 @@
         self._in_flight[target] += 1
         if is_first:
             self._retries.feed()
-            self._refusals.feed()
             self._hedges.feed()
 
     def end(self, target: str) -> None:
@@ -189,14 +181,19 @@
         """Take in that a target refused for lack of slots, which is not a fault."""
         self._shed_until[target] = now + SHED_PAUSE
 
-    def find_pause_end(self, now: float) -> float:
+    def find_pause_end(
+        self, kind: services.Kind, deadline: float, now: float
+    ) -> float | None:
         """Return when to try again after several targets had no free slot.
 
         That several were full at once says that the fleet sends more than there are
-        slots, so this VM lets fewer requests in.
+        slots, so this VM lets fewer requests in. None where an answer could not come
+        in time any more: such a request is refused at once.
         """
         self.admission.take_refusal(now)
-        return now + self._generator.uniform(SHED_PAUSE / 2, 2 * SHED_PAUSE)
+        typical = self.health.find_typical_latency(kind.name) or 0.0
+        resume_at = now + self._generator.uniform(SHED_PAUSE / 2, 2 * SHED_PAUSE)
+        return resume_at if resume_at + typical < deadline else None
 
     def observe(self, target: str, kind: str, sign: evidence.Sign, now: float) -> None:
         """Take in evidence for or against a target."""
