--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -82,6 +82,10 @@
     """Whether a full target queues work instead of refusing it."""
 
 
+def _everybody(vm: int) -> bool:
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
     """What befalls one target, from the view of some VMs, for some time."""
@@ -104,7 +108,7 @@
     period: float = 0.0
     """Seconds of one cycle of flapping, half of it sick; 0 for none."""
 
-    seen_by: collections.abc.Callable[[int], bool] = lambda vm: True
+    seen_by: collections.abc.Callable[[int], bool] = _everybody
     """Which VMs suffer from it."""
 
     hangs: bool = False
@@ -220,6 +224,7 @@
         self.control_messages = 0
         self.control_bytes = 0
         self.ejected: list[tuple[float, str]] = []
+        self.ejected_alone: list[str] = []
         self._numbers = itertools.count()
         self._heap: list[tuple[float, int, collections.abc.Callable[[], None]]] = []
         self._targets = [_Target(shape.slots) for _ in range(shape.targets)]
@@ -426,7 +431,8 @@
     def _observe(self, state: _Attempt, sign: evidence.Sign) -> None:
         vm, name = state.request.vm, state.send.target.name
         if self.mode == CONSECUTIVE:
-            _count_consecutive(vm, name, sign, self.now)
+            if _count_consecutive(vm, name, sign, self.now):
+                self.ejected_alone.append(name)
         elif self.mode != NO_EJECTION:
             vm.router.observe(name, state.request.kind.name, sign, self.now)
 
@@ -537,18 +543,20 @@
 CONSECUTIVE_OUT_FOR = 30.0
 
 
-def _count_consecutive(vm: _Vm, name: str, sign: evidence.Sign, now: float) -> None:
+def _count_consecutive(vm: _Vm, name: str, sign: evidence.Sign, now: float) -> bool:
+    """Count errors in a row; return whether the VM ejects the target now."""
     if sign is evidence.Sign.GOOD:
         vm.failures[name] = 0
-        return
-    if sign is evidence.Sign.SLOW:
-        return
+    if sign is not evidence.Sign.ERROR:
+        return False
     vm.failures[name] = vm.failures.get(name, 0) + 1
     out = sum(until > now for until in vm.out_until.values())
     most = len(vm.router.service.targets) // 3
     if vm.failures[name] >= CONSECUTIVE_ERRORS and out < most:
         vm.failures[name] = 0
         vm.out_until[name] = now + CONSECUTIVE_OUT_FOR
+        return True
+    return False
 
 
 def _mean_factor(spread: float) -> float:
--- a/packages/zinniastand-core/src/zinniastand_core/config_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/config_exchange.py
@@ -106,7 +106,7 @@
         if kept and first <= asked.next_offset:
             entries = peer_messages.Entries(asked.next_offset, tuple(kept))
             return [control_actions.Tell(sender, entries)]
-        granted = self.config.ejections.list_granted(now)
+        granted = self.config.ejections.list_granted()
         state = peer_messages.ConfigState(
             self.config.next_offset,
             self.config.chain.pack_snapshot() or b"",
--- a/packages/zinniastand-core/src/zinniastand_core/config_log.py
+++ b/packages/zinniastand-core/src/zinniastand_core/config_log.py
@@ -68,7 +68,7 @@
         ruling = self.chain.apply(data)
         revoked: list[ejections.Ejection] = []
         if ruling.verdict is chain.Verdict.ACCEPTED:
-            revoked = self.ejections.revoke_for(self.chain.bundle, now)
+            revoked = self.ejections.revoke_for(self.chain.bundle)
         return Applied(ruling=ruling, revoked=tuple(revoked))
 
     def take_state(
--- a/packages/zinniastand-core/src/zinniastand_core/ejections.py
+++ b/packages/zinniastand-core/src/zinniastand_core/ejections.py
@@ -66,6 +66,7 @@
     def __init__(self) -> None:
         self._granted: list[Ejection] = []
         self._last: dict[tuple[str, str], tuple[int, Ejection]] = {}
+        self._latest = 0.0
 
     def apply(self, ejection: Ejection, bundle: bundles.Bundle) -> Decision:
         """Rule on the next ejection of the log."""
@@ -79,19 +80,25 @@
 
     def grant(self, ejection: Ejection) -> None:
         """Put an ejection in force that nothing objects to."""
+        self._latest = max(self._latest, ejection.proposed_at)
         self._granted = [e for e in self._granted if _holds(e, ejection.proposed_at)]
         self._granted.append(ejection)
         key = (ejection.service, ejection.target)
         count, _ = self._last.get(key, (0, ejection))
         self._last[key] = (count + 1, ejection)
 
-    def revoke_for(self, bundle: bundles.Bundle, now: float) -> list[Ejection]:
-        """Revoke the latest grants that a new bundle leaves no room for."""
+    def revoke_for(self, bundle: bundles.Bundle) -> list[Ejection]:
+        """Revoke the latest grants that a new bundle leaves no room for.
+
+        It goes by the time of the latest grant, not by this VM's clock: two VMs that
+        read the bundle at different times must revoke the same, or their later grants
+        would differ and together go below the floor.
+        """
         revoked: list[Ejection] = []
         for service in bundle.services:
-            while self._count_left(service, now) < service.floor_slots:
+            while self._count_left(service, self._latest) < service.floor_slots:
                 ours = [e for e in self._granted if e.service == service.name]
-                ours = [e for e in ours if _holds(e, now)]
+                ours = [e for e in ours if _holds(e, self._latest)]
                 if not ours:
                     break
                 self._granted.remove(ours[-1])
@@ -117,9 +124,9 @@
                 ejected.add(target.name)
         return ejected
 
-    def list_granted(self, now: float) -> list[Ejection]:
-        """Return the grants that still hold slots, oldest first."""
-        return [ejection for ejection in self._granted if _holds(ejection, now)]
+    def list_granted(self) -> list[Ejection]:
+        """Return the grants that may still hold slots, oldest first."""
+        return list(self._granted)
 
     def count_ejections(self, service: str, target: str, since: float) -> int:
         """Return how often a target was ejected, or 0 if not since `since`."""
--- /dev/null
+++ b/tests/machines/floor.py
@@ -0,0 +1,156 @@
+"""A state machine of ejections on several VMs that read the log at their own pace.
+
+The code under test is `config_log.ConfigLog` with its ledger of ejections. Bundles
+(drains, changed floors) and ejections race on one log; clocks differ by as much as is
+allowed; VMs lag, start empty, or take a peer's state.
+"""
+
+from __future__ import annotations
+
+import copy
+import typing
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from machines import documents
+from zinniastand_core import (
+    bundles,
+    chain,
+    config_log,
+    ejections,
+    proposals,
+    services,
+)
+
+VMS = 3
+KEY = ed25519.Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
+TRUSTED = documents.make_operators({"a": KEY})
+SKEWS = (-ejections.CLOCK_ERROR / 2, 0.0, ejections.CLOCK_ERROR / 2)
+
+
+class FloorMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """One service of five targets, and three VMs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.log: list[bytes] = []
+        self.vms = [config_log.ConfigLog(TRUSTED) for _ in range(VMS)]
+        self.writer = config_log.ConfigLog(TRUSTED)
+        self.count = 0
+        self.publish(documents.make_document({"a": KEY}, targets=5, floor=6))
+
+    def publish(self, document: dict[str, typing.Any]) -> None:
+        """Sign and append a bundle on the head."""
+        parsed = bundles.parse_document(document)
+        if parsed.is_error():
+            return
+        self.count += 1
+        head = self.writer.chain
+        proposal = proposals.propose(
+            f"p{self.count}", head.version + 1, head.bundle, parsed.ok
+        )
+        signed = proposals.sign(proposal, "a", KEY)
+        self.append(chain.pack_proposal(signed))
+        self.document = document
+
+    def append(self, data: bytes) -> None:
+        """Append to the log; the writer reads at once."""
+        self.log.append(data)
+        self.writer.take_entry(len(self.log) - 1, data, self.now)
+
+    @hypothesis.stateful.rule(
+        number=st.integers(0, 4),
+        skew=st.sampled_from(SKEWS),
+        lease=st.sampled_from([5.0, 20.0, 300.0]),
+    )
+    def eject(self, number: int, skew: float, lease: float) -> None:
+        """Some VM proposes an ejection, knowing nothing of the others'."""
+        at = round(self.now + skew, 3)
+        ejection = ejections.Ejection(
+            "desk", f"t{number}", "vm", at, round(at + lease, 3), 9.0
+        )
+        self.append(ejections.pack(ejection))
+
+    @hypothesis.stateful.rule(number=st.integers(0, 4), draining=st.booleans())
+    def drain(self, number: int, draining: bool) -> None:
+        """An operator drains a target, or brings it back."""
+        document = copy.deepcopy(self.document)
+        document["services"]["desk"]["targets"][number]["draining"] = draining
+        self.publish(document)
+
+    @hypothesis.stateful.rule(floor=st.integers(2, 10))
+    def set_floor(self, floor: int) -> None:
+        """An operator changes the floor."""
+        document = copy.deepcopy(self.document)
+        document["services"]["desk"]["floor_slots"] = floor
+        self.publish(document)
+
+    @hypothesis.stateful.rule(vm=st.integers(0, VMS - 1), most=st.integers(1, 6))
+    def read(self, vm: int, most: int) -> None:
+        """A VM reads some entries."""
+        config = self.vms[vm]
+        start = config.next_offset
+        for offset in range(start, min(len(self.log), start + most)):
+            config.take_entry(offset, self.log[offset], self.now)
+
+    @hypothesis.stateful.rule(vm=st.integers(0, VMS - 1), peer=st.integers(0, VMS - 1))
+    def take_peer_state(self, vm: int, peer: int) -> None:
+        """A VM that starts empty takes another's state."""
+        source = self.vms[peer]
+        snapshot = source.chain.pack_snapshot()
+        if vm == peer or snapshot is None:
+            return
+        granted = [ejections.pack(e) for e in source.ejections.list_granted()]
+        fresh = config_log.ConfigLog(TRUSTED)
+        fresh.take_state(source.next_offset, snapshot, granted, self.now)
+        self.vms[vm] = fresh
+
+    @hypothesis.stateful.rule(step=st.sampled_from([0.5, 3.0, 8.0, 30.0]))
+    def advance(self, step: float) -> None:
+        """Time passes."""
+        self.now += step
+
+    @hypothesis.stateful.invariant()
+    def every_view_keeps_the_floor(self) -> None:
+        """No VM's own ejections go below the floor of its bundle."""
+        for config in self.vms:
+            service = find_service(config)
+            if service is not None:
+                ejected = config.ejections.list_ejected(service, self.now)
+                assert count_slots(service, ejected) >= service.floor_slots
+
+    @hypothesis.stateful.invariant()
+    def all_views_together_keep_the_floor(self) -> None:
+        """A target ejected by any VM is lost; what is left is above the floor."""
+        by_version: dict[int, set[str]] = {}
+        found: dict[int, services.Service] = {}
+        for index, config in enumerate(self.vms):
+            service = find_service(config)
+            if service is None:
+                continue
+            clock = self.now + SKEWS[index % len(SKEWS)]
+            version = config.chain.version
+            found[version] = service
+            ejected = config.ejections.list_ejected(service, clock)
+            by_version.setdefault(version, set()).update(ejected)
+        for version, ejected in by_version.items():
+            service = found[version]
+            assert count_slots(service, ejected) >= service.floor_slots
+
+
+def find_service(config: config_log.ConfigLog) -> services.Service | None:
+    """Return the service as a VM's bundle has it."""
+    return config.chain.bundle.find_service("desk")
+
+
+def count_slots(service: services.Service, ejected: set[str]) -> int:
+    """Return the slots that are left."""
+    return sum(
+        target.slots
+        for target in service.targets
+        if not target.draining and target.name not in ejected
+    )
--- /dev/null
+++ b/tests/machines/plants.py
@@ -0,0 +1,214 @@
+"""Planted bugs, each of which a state machine has to catch.
+
+A machine that cannot fail proves nothing. Each plant breaks one safeguard.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import typing
+import unittest.mock
+
+import hypothesis
+import hypothesis.stateful
+
+from machines import claims, floor, heads
+from zinniastand_core import (
+    attempts,
+    chain,
+    claim_ledger,
+    claimer,
+    ejections,
+    proposals,
+)
+
+EXAMPLES = 1500
+STEPS = 40
+
+Machine = type[hypothesis.stateful.RuleBasedStateMachine]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plant:
+    """One planted bug."""
+
+    name: str
+    """What is broken."""
+
+    machine: Machine
+    """Who has to catch it."""
+
+    owner: typing.Any
+    """Module or class that is patched."""
+
+    attribute: str
+    """What is replaced in it."""
+
+    replacement: typing.Any
+    """The bug."""
+
+
+def _forget_start_deadline(plan: typing.Any, now: float) -> list[attempts.Action]:
+    plan._start_deadline = plan._deadline + 1000.0
+    return _SEND_NEXT(plan, now)
+
+
+def _take_loss_for_not_run(
+    plan: typing.Any, attempt: int, failure: attempts.Failure, now: float
+) -> list[attempts.Action]:
+    lost = (attempts.Failure.SILENT, attempts.Failure.CUT)
+    taken = attempts.Failure.NOT_HANDED if failure in lost else failure
+    return _TAKE_FAILURE(plan, attempt, taken, now)
+
+
+def _trust_acknowledgement(
+    seeker: typing.Any, batch: int, offset: int, now: float
+) -> list[claimer.Action]:
+    return _TAKE_APPENDED(seeker, batch, seeker.next_offset, now)
+
+
+def _revive_dead(ledger: typing.Any, claim: typing.Any) -> None:
+    ledger._dead.pop(claim.claim_id, None)
+    _APPLY_CLAIM(ledger, claim)
+
+
+def _free_unknown(ledger: typing.Any, record: typing.Any, now: float) -> None:
+    ledger._entries.pop(record.key_digest, None)
+
+
+def _ignore_base(own: typing.Any, proposal: proposals.Proposal) -> chain.Ruling:
+    based = dataclasses.replace(proposal, base=own.bundle.digest)
+    return _APPLY_PROPOSAL(own, based)
+
+
+def _ignore_floor(ledger: typing.Any, service: typing.Any, at: float) -> int:
+    return 1000
+
+
+def _count_everybody(proposal: proposals.Proposal, operators: typing.Any) -> int:
+    return len(proposal.sign_offs)
+
+
+def _take_any_snapshot(own: typing.Any, snapshot: chain.Snapshot) -> chain.Ruling:
+    own._version = min(own._version, snapshot.head.version - 1)
+    return _APPLY_SNAPSHOT(own, snapshot)
+
+
+_SEND_NEXT = attempts.Plan._send_next
+_TAKE_FAILURE = attempts.Plan.take_failure
+_TAKE_APPENDED = claimer.Claimer.take_appended
+_APPLY_CLAIM = claim_ledger.ClaimLedger._apply_claim
+_APPLY_PROPOSAL = chain.Chain.apply_proposal
+_APPLY_SNAPSHOT = chain.Chain._apply_snapshot
+
+PLANTS = (
+    Plant(
+        "the start deadline is dropped",
+        claims.ClaimsMachine,
+        attempts.Plan,
+        "_send_next",
+        _forget_start_deadline,
+    ),
+    Plant(
+        "a lost answer counts as not run",
+        claims.ClaimsMachine,
+        attempts.Plan,
+        "take_failure",
+        _take_loss_for_not_run,
+    ),
+    Plant(
+        "at-most-once work is retried after a lost answer",
+        claims.ClaimsMachine,
+        attempts.Plan,
+        "_may_run_again",
+        lambda plan: True,
+    ),
+    Plant(
+        "an append's answer is taken for ownership",
+        claims.ClaimsMachine,
+        claimer.Claimer,
+        "take_appended",
+        _trust_acknowledgement,
+    ),
+    Plant(
+        "a dead claim is revived by its late copy",
+        claims.ClaimsMachine,
+        claim_ledger.ClaimLedger,
+        "_apply_claim",
+        _revive_dead,
+    ),
+    Plant(
+        "any release frees the key",
+        claims.ClaimsMachine,
+        claim_ledger.ClaimLedger,
+        "_apply_release",
+        _free_unknown,
+    ),
+    Plant(
+        "a stale base is applied",
+        heads.HeadsMachine,
+        chain.Chain,
+        "apply_proposal",
+        _ignore_base,
+    ),
+    Plant(
+        "sign-offs are counted, not verified",
+        heads.HeadsMachine,
+        proposals,
+        "count_sign_offs",
+        _count_everybody,
+    ),
+    Plant(
+        "an old snapshot brings an old bundle back",
+        heads.HeadsMachine,
+        chain.Chain,
+        "_apply_snapshot",
+        _take_any_snapshot,
+    ),
+    Plant(
+        "the floor is ignored",
+        floor.FloorMachine,
+        ejections.EjectionLedger,
+        "_count_left",
+        _ignore_floor,
+    ),
+    Plant(
+        "slots are free again the moment a lease ends",
+        floor.FloorMachine,
+        ejections,
+        "HOLD_AFTER",
+        -2 * ejections.CLOCK_ERROR,
+    ),
+)
+
+
+def is_caught(plant: Plant) -> bool:
+    """Return whether the machine fails with the bug in place."""
+    settings = hypothesis.settings(
+        max_examples=EXAMPLES,
+        stateful_step_count=STEPS,
+        suppress_health_check=tuple(hypothesis.HealthCheck),
+        phases=(hypothesis.Phase.generate,),
+        report_multiple_bugs=False,
+    )
+    patch = unittest.mock.patch.object(plant.owner, plant.attribute, plant.replacement)
+    with patch, contextlib.redirect_stdout(None):
+        try:
+            hypothesis.stateful.run_state_machine_as_test(
+                plant.machine, settings=settings
+            )
+        except AssertionError:
+            return True
+    return False
+
+
+def main() -> int:
+    """Print which plants are caught; return 1 where one is missed."""
+    missed = 0
+    for plant in PLANTS:
+        caught = is_caught(plant)
+        missed += not caught
+        print(f"{'caught' if caught else 'MISSED':8} {plant.name}", flush=True)
+    print(f"{len(PLANTS) - missed} of {len(PLANTS)} caught")
+    return 1 if missed else 0
