--- a/packages/zinniastand-core/src/zinniastand_core/attempts.py
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -38,6 +38,9 @@
     NOT_HANDED = "not-handed"
     """No connection could be made: the target saw nothing."""
 
+    BUSY = "busy"
+    """This VM has no connection to the target free: nothing was tried."""
+
     REFUSED = "refused"
     """The target declared that it refused before starting."""
 
@@ -51,6 +54,9 @@
     """No answer by the deadline."""
 
 
+NOT_STARTED = (Failure.NOT_HANDED, Failure.BUSY, Failure.REFUSED)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
     """Action: send the request to a target."""
@@ -261,14 +267,14 @@
         if live is None or self._ended:
             return []
         self._last_failure = failure
-        if failure not in (Failure.NOT_HANDED, Failure.REFUSED):
+        if failure not in NOT_STARTED:
             self._may_have_run = True
         if self._live:
             return []
         if failure is Failure.SILENT and live.freshness is Freshness.ANY:
             return self._repeat_on_new(live, now)
         self._excluded.add(live.target.name)
-        if failure is Failure.REFUSED:
+        if failure in (Failure.REFUSED, Failure.BUSY):
             return self._try_after_refusal(now)
         if self._may_run_again() and self._may_attempt(now):
             return self._send_next(now)
@@ -450,7 +456,7 @@
             return outcomes.Reason.ANSWER_LOST
         if now >= self._deadline:
             return outcomes.Reason.DEADLINE
-        if self._last_failure is Failure.REFUSED:
+        if self._last_failure in (Failure.REFUSED, Failure.BUSY):
             return outcomes.Reason.REFUSED_BY_TARGETS
         if self._claim is not None and now >= self._start_deadline:
             return outcomes.Reason.CLAIM_LATE
--- a/packages/zinniastand-core/src/zinniastand_core/control.py
+++ b/packages/zinniastand-core/src/zinniastand_core/control.py
@@ -69,6 +69,10 @@
         self.members.forget_gone(now)
         return actions
 
+    def list_neighbours(self, now: float) -> list[str]:
+        """Return the VMs that this one calls."""
+        return self._neighbours.list_neighbours(now)
+
     def leave(self, now: float) -> Actions:
         """Announce that this VM is stopping."""
         return self._neighbours.leave(now)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
@@ -260,7 +260,7 @@
             was_counted = send.attempt in self._counted_late
             self._observe_answer(name, result.answer, took, was_counted, now)
             return
-        if result.failure is attempts.Failure.REFUSED:
+        if result.failure in (attempts.Failure.REFUSED, attempts.Failure.BUSY):
             self._routing.take_shed(name, now)
             return
         if result.failure is attempts.Failure.SILENT and result.was_pooled:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/connections.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/connections.py
@@ -24,6 +24,10 @@
     """No connection could be made, so the target saw nothing of the request."""
 
 
+class NoFreeConnectionError(Exception):
+    """Every connection that this VM may have to the target is in use."""
+
+
 class Connection:
     """One connection to a target.
 
@@ -81,7 +85,9 @@
         Raises
         ------
         NoConnectionError
-            If none is free, or a new one cannot be made.
+            If a new one cannot be made.
+        NoFreeConnectionError
+            If all that are allowed are in use.
         """
         if freshness is not attempts.Freshness.NEW:
             pooled = self._take_idle(freshness, now)
@@ -136,7 +142,7 @@
     async def _connect(self, now: float) -> Connection:
         if self._open >= self._most:
             if not self._idle:
-                raise NoConnectionError("every connection to the target is in use")
+                raise NoFreeConnectionError
             await self.discard(self._idle.popleft())
         self._open += 1
         try:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/exchange.py
@@ -80,6 +80,8 @@
         target = self._pool.find(send.target)
         try:
             connection = await target.take(send.freshness, self._timer.now())
+        except connections.NoFreeConnectionError:
+            return Result(None, attempts.Failure.BUSY, False)
         except connections.NoConnectionError as error:
             failure = attempts.Failure.NOT_HANDED
             return Result(None, failure, False, detail=str(error))
--- a/packages/zinniastand-standins/src/zinniastand_standins/virtual_fleet.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/virtual_fleet.py
@@ -40,30 +40,40 @@
         self.writer = chain.Chain(TRUSTED)
         self.told: collections.Counter[str] = collections.Counter()
         for number in range(count):
-            self.start(f"vm-{number}")
+            self._add(f"vm-{number}", 1)
+        self._list_all()
 
     def start(self, vm: str, incarnation: int = 1) -> control.Control:
         """Start a VM that knows the names of all, as from the platform's list."""
+        process = self._add(vm, incarnation)
+        self._list_all()
+        return process
+
+    def _add(self, vm: str, incarnation: int) -> control.Control:
         place = f"dc-{sum(vm.encode()) % 3}"
         own = membership.Member(vm, place, "", incarnation)
         process = control.Control(own, TRUSTED, self.retention, timeline.Timeline(vm))
         self.vms[vm] = process
+        return process
+
+    def _list_all(self) -> None:
         listed = [other.members.own for other in self.vms.values()]
         for other in self.vms.values():
             other.members.take_list(listed, self.now)
-        return process
 
     def publish(self, floor: int, by: str = "p") -> None:
         """Append a bundle with another floor."""
+        record = self.make_record(floor, f"{by}{len(self.log)}")
+        self.log.append(record)
+        self.writer.apply(record)
+
+    def make_record(self, floor: int, name: str) -> bytes:
+        """Return the signed record of a bundle on the head."""
         document = documents.make_document(KEYS, floor=floor)
         new = bundles.parse_document(document).ok
         head = self.writer
-        proposal = proposals.propose(
-            f"{by}{len(self.log)}", head.version + 1, head.bundle, new
-        )
-        record = chain.pack_proposal(proposals.sign(proposal, "a", KEYS["a"]))
-        self.log.append(record)
-        self.writer.apply(record)
+        proposal = proposals.propose(name, head.version + 1, head.bundle, new)
+        return chain.pack_proposal(proposals.sign(proposal, "a", KEYS["a"]))
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
--- a/tests/machines/claims.py
+++ b/tests/machines/claims.py
@@ -125,6 +125,10 @@
     @hypothesis.stateful.rule(vm=st.integers(0, VMS - 1), key=st.integers(0, KEYS - 1))
     def submit(self, vm: int, key: int) -> None:
         """A caller sends work with a key, perhaps again, to any VM."""
+        self.send_order(vm, key)
+
+    def send_order(self, vm: int, key: int) -> None:
+        """Send work with a key to a VM."""
         if self.paused[vm] or len(self.requests) > 12:
             return
         digest = bytes([key]) * 16
@@ -275,6 +279,10 @@
     @hypothesis.stateful.rule(vm=st.integers(0, VMS - 1))
     def pause_or_wake(self, vm: int) -> None:
         """A VM stops for a while, or wakes up and believes that no time has passed."""
+        self.toggle_pause(vm)
+
+    def toggle_pause(self, vm: int) -> None:
+        """Pause a VM, or let it wake up and hear what has come meanwhile."""
         self.paused[vm] = not self.paused[vm]
         if not self.paused[vm]:
             waiting, self.inbox[vm] = self.inbox[vm], []
@@ -285,6 +293,10 @@
     @hypothesis.stateful.rule(vm=st.integers(0, VMS - 1))
     def replace(self, vm: int) -> None:
         """A VM is lost with all that it knew; what it sent may still run."""
+        self.lose(vm)
+
+    def lose(self, vm: int) -> None:
+        """Replace a VM by an empty one."""
         self.lives[vm] += 1
         self.paused[vm] = False
         self.inbox[vm].clear()
