--- a/packages/zinniastand-core/src/zinniastand_core/sections.py
+++ b/packages/zinniastand-core/src/zinniastand_core/sections.py
@@ -31,7 +31,7 @@
         routes=tuple(sorted(routes, key=_rank_route)),
         targets=targets,
     )
-    _check_service(service, reader)
+    _check_service(service, routes, reader)
     reader.refuse_unknown()
     return service
 
@@ -123,10 +123,15 @@
     return services.Operator(name, key)
 
 
-def _check_service(service: services.Service, reader: documents.Reader) -> None:
+def _check_service(
+    service: services.Service,
+    routes: tuple[services.Route, ...],
+    reader: documents.Reader,
+) -> None:
+    """Check what concerns several fields; `routes` are in document order."""
     _check_unique(reader, "targets", [target.name for target in service.targets])
     _check_unique(reader, "kinds", [kind.name for kind in service.kinds])
-    for index, route in enumerate(service.routes):
+    for index, route in enumerate(routes):
         if service.find_kind(route.kind) is None:
             reader.add(f"routes[{index}].kind", f"no kind named {route.kind!r}")
     available = sum(t.slots for t in service.targets if not t.draining)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
@@ -78,6 +78,11 @@
         self.metrics = metrics.Metrics()
         self.table = service_table.ServiceTable(random.Random())
         self.cut_off = 0
+        self._core: control.Control | None = None
+
+    def read_version(self) -> int:
+        """Return the version of the bundle in force, 0 before any."""
+        return self._core.config.chain.version if self._core else 0
 
     def stop(self) -> None:
         """Begin a graceful stop; a second call stops at once."""
@@ -104,6 +109,7 @@
             int(time.time() * INCARNATION_SCALE),
         )
         core = control.Control(own, config.trusted, config.log_retention, self.events)
+        self._core = core
         joined = fleet.Fleet(
             config, core, self.table, self._log, self._listing, timer, group
         )
