--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -12,10 +12,10 @@
 import heapq
 import itertools
 import random
-import typing
 
 from zinniastand_core import (
     admission,
+    attempt_actions,
     attempts,
     baselines,
     control,
@@ -29,6 +29,8 @@
     timeline,
 )
 
+from . import consecutive, shapes
+
 SERVICE = "service"
 HOP = 0.0005
 TICK = 0.5
@@ -41,113 +43,6 @@
 CONSECUTIVE = "consecutive"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shape:
-    """Size and load of one service."""
-
-    vms: int
-    """VMs that send to it."""
-
-    vm_places: int
-    """Data centres over which VMs and targets are spread."""
-
-    targets: int
-    """Targets."""
-
-    slots: int
-    """Slots of each."""
-
-    load: float
-    """Offered work as a share of all slots."""
-
-    work_time: float = 0.05
-    """Median seconds of work."""
-
-    spread: float = 0.4
-    """Sigma of the lognormal work time."""
-
-    floor_share: float = 0.6
-    """Floor as a share of all slots."""
-
-    detection_weight: float = 0.5
-    """Weight of detection time against false ejections."""
-
-    skew: float = 0.0
-    """0: the balancer spreads evenly; 1: the busiest VM gets twice the mean."""
-
-    keyed_share: float = 0.0
-    """Share of requests that may run only once and weigh five times."""
-
-    queues: bool = False
-    """Whether a full target queues work instead of refusing it."""
-
-
-def _everybody(vm: int) -> bool:
-    return True
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fault:
-    """What befalls one target, from the view of some VMs, for some time."""
-
-    targets: tuple[int, ...]
-    """Targets."""
-
-    starts_at: float
-    """Seconds."""
-
-    ends_at: float
-    """Seconds."""
-
-    error_share: float = 0.0
-    """Share of requests that fail."""
-
-    slow_factor: float = 1.0
-    """How much longer work takes."""
-
-    period: float = 0.0
-    """Seconds of one cycle of flapping, half of it sick; 0 for none."""
-
-    seen_by: collections.abc.Callable[[int], bool] = _everybody
-    """Which VMs suffer from it."""
-
-    hangs: bool = False
-    """Whether nothing comes back at all."""
-
-    kind: str = ""
-    """The one kind of work that it hits, or empty for all."""
-
-    def hits(self, vm: int, target: int, kind: str, now: float) -> bool:
-        """Return whether a request suffers from it."""
-        if target not in self.targets or not self.starts_at <= now < self.ends_at:
-            return False
-        if self.kind and kind != self.kind:
-            return False
-        if self.period and (now - self.starts_at) % self.period >= self.period / 2:
-            return False
-        return self.seen_by(vm)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Done:
-    """What became of one request."""
-
-    arrived_at: float
-    """Seconds."""
-
-    took: float
-    """Seconds."""
-
-    weight: float
-    """Worth."""
-
-    is_answered: bool
-    """Whether it got a good answer in time."""
-
-    was_harmed: bool
-    """Whether a fault touched it."""
-
-
 class _Target:
     """A target with slots, which refuses or queues when they are taken."""
 
@@ -195,9 +90,9 @@
 
     Parameters
     ----------
-    shape : Shape
+    shape : shapes.Shape
         Size and load.
-    faults : sequence of Fault
+    faults : sequence of shapes.Fault
         What befalls the targets.
     mode : str
         `SHARED`, `ALONE`, `NO_EJECTION` or `CONSECUTIVE`.
@@ -207,8 +102,8 @@
 
     def __init__(
         self,
-        shape: Shape,
-        faults: collections.abc.Sequence[Fault] = (),
+        shape: shapes.Shape,
+        faults: collections.abc.Sequence[shapes.Fault] = (),
         mode: str = SHARED,
         seed: int = 1,
     ) -> None:
@@ -218,7 +113,7 @@
         self.generator = random.Random(seed)
         self.service = _make_service(shape)
         self.now = 0.0
-        self.done: list[Done] = []
+        self.done: list[shapes.Done] = []
         self.sent: list[tuple[float, int]] = []
         self.refusals = 0
         self.control_messages = 0
@@ -281,19 +176,19 @@
         actions = request.plan.start(self.now)
         self._act(request, actions)
 
-    def _make_chooser(self, vm: _Vm) -> attempts.Chooser:
+    def _make_chooser(self, vm: _Vm) -> attempt_actions.Chooser:
         if self.mode == CONSECUTIVE:
-            return _ConsecutiveChooser(vm)
+            return consecutive.ConsecutiveChooser(vm)
         return vm.router
 
-    def _act(self, request: _Request, actions: list[attempts.Action]) -> None:
+    def _act(self, request: _Request, actions: list[attempt_actions.Action]) -> None:
         for action in actions:
             match action:
-                case attempts.Send():
+                case attempt_actions.Send():
                     self._send(request, action)
-                case attempts.Relay():
+                case attempt_actions.Relay():
                     self._leave(request, True)
-                case attempts.Refuse():
+                case attempt_actions.Refuse():
                     self._leave(request, False)
                 case _:
                     pass
@@ -302,14 +197,14 @@
             self._at(plan.find_wake_time(), self._make_wake(request))
 
     def _make_wake(self, request: _Request) -> collections.abc.Callable[[], None]:
-        def wake() -> None:
+        def _wake() -> None:
             plan = request.plan
             if plan is None or plan.has_ended:
                 return
             if self.now >= plan.find_wake_time():
                 self._act(request, plan.wake(self.now))
 
-        return wake
+        return _wake
 
     def _leave(self, request: _Request, is_answered: bool) -> None:
         self._end(request, is_answered and self.now <= request.deadline)
@@ -321,7 +216,7 @@
             return
         request.is_over = True
         self.done.append(
-            Done(
+            shapes.Done(
                 request.arrived_at,
                 self.now - request.arrived_at,
                 request.kind.weight,
@@ -332,7 +227,7 @@
 
     # Attempts and targets.
 
-    def _send(self, request: _Request, send: attempts.Send) -> None:
+    def _send(self, request: _Request, send: attempt_actions.Send) -> None:
         vm, name = request.vm, send.target.name
         index = int(name)
         vm.router.start(name, is_first=send.attempt == 1)
@@ -382,7 +277,7 @@
         if target.waiting:
             target.waiting.pop(0)()
 
-    def _find_fault(self, state: _Attempt, index: int) -> Fault | None:
+    def _find_fault(self, state: _Attempt, index: int) -> shapes.Fault | None:
         vm, kind = state.request.vm.number, state.request.kind.name
         for fault in self.faults:
             if fault.hits(vm, index, kind, self.now):
@@ -412,13 +307,13 @@
             return
         if result == "refused":
             vm.router.take_shed(name, self.now)
-            failure = attempts.Failure.REFUSED
+            failure = attempt_actions.Failure.REFUSED
             self._act(request, plan.take_failure(send.attempt, failure, self.now))
             return
         if result == "error":
             # A server error in idempotent work: worth another try elsewhere.
             self._observe(state, evidence.Sign.ERROR)
-            failure = attempts.Failure.CUT
+            failure = attempt_actions.Failure.CUT
             self._act(request, plan.take_failure(send.attempt, failure, self.now))
             return
         subject = baselines.Subject(name, request.kind.name)
@@ -431,7 +326,7 @@
     def _observe(self, state: _Attempt, sign: evidence.Sign) -> None:
         vm, name = state.request.vm, state.send.target.name
         if self.mode == CONSECUTIVE:
-            if _count_consecutive(vm, name, sign, self.now):
+            if consecutive.count(vm, name, sign, self.now):
                 self.ejected_alone.append(name)
         elif self.mode != NO_EJECTION:
             vm.router.observe(name, state.request.kind.name, sign, self.now)
@@ -445,11 +340,11 @@
                 vm.control.members.take_sighting(sighting, 0.0)
 
     def _make_tick(self, vm: _Vm) -> collections.abc.Callable[[], None]:
-        def tick() -> None:
-            self._at(self.now + TICK, tick)
+        def _tick() -> None:
+            self._at(self.now + TICK, _tick)
             self._carry_out(vm, vm.control.tick(self.now))
 
-        return tick
+        return _tick
 
     def _carry_out(
         self, vm: _Vm, actions: collections.abc.Sequence[control_actions.Action]
@@ -468,15 +363,15 @@
         self.control_bytes += len(peer_messages.encode(action.message))
         receiver = self._by_name[action.vm]
 
-        def take() -> None:
+        def _take() -> None:
             message = action.message
             actions = receiver.control.take_message(vm.name, message, self.now)
             self._carry_out(receiver, actions)
 
-        self._at(self.now + 2 * HOP, take)
+        self._at(self.now + 2 * HOP, _take)
 
     def _make_append(self, data: bytes) -> collections.abc.Callable[[], None]:
-        def append() -> None:
+        def _append() -> None:
             """Grant by the rule, apart from bundles, which the model does not have."""
             ejection = ejections.read(data)
             if ejection is None or not self._has_room(ejection):
@@ -485,7 +380,7 @@
             for vm in self.vms:
                 vm.control.config.ejections.grant(ejection)
 
-        return append
+        return _append
 
     def _has_room(self, ejection: ejections.Ejection) -> bool:
         ledger = self.vms[0].control.config.ejections
@@ -497,68 +392,12 @@
     """One attempt under way."""
 
     request: _Request
-    send: attempts.Send
+    send: attempt_actions.Send
     sent_at: float
     is_over: bool = False
     was_counted: bool = False
 
 
-class _ConsecutiveChooser:
-    """The usual baseline: N errors in a row, then out for a fixed time, VM by VM."""
-
-    def __init__(self, vm: _Vm) -> None:
-        self._vm = vm
-
-    def choose(
-        self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
-    ) -> services.Target | None:
-        """Return a target that is not out on this VM."""
-        out = {name for name, until in self._vm.out_until.items() if until > now}
-        return self._vm.router.choose(kind, out | excluded, now) or (
-            self._vm.router.choose(kind, excluded, now)
-        )
-
-    def may_retry(self, now: float) -> bool:
-        """Return what the router allows."""
-        return self._vm.router.may_retry(now)
-
-    def find_pause_end(
-        self, kind: services.Kind, deadline: float, now: float
-    ) -> float | None:
-        """Return what the router says."""
-        return self._vm.router.find_pause_end(kind, deadline, now)
-
-    def may_hedge(self, now: float) -> bool:
-        """Return False: the baseline does not hedge."""
-        return False
-
-    def find_hedge_time(
-        self, kind: services.Kind, target: services.Target, now: float
-    ) -> float | None:
-        """Return None: the baseline does not hedge."""
-        return None
-
-
-CONSECUTIVE_ERRORS = 5
-CONSECUTIVE_OUT_FOR = 30.0
-
-
-def _count_consecutive(vm: _Vm, name: str, sign: evidence.Sign, now: float) -> bool:
-    """Count errors in a row; return whether the VM ejects the target now."""
-    if sign is evidence.Sign.GOOD:
-        vm.failures[name] = 0
-    if sign is not evidence.Sign.ERROR:
-        return False
-    vm.failures[name] = vm.failures.get(name, 0) + 1
-    out = sum(until > now for until in vm.out_until.values())
-    most = len(vm.router.service.targets) // 3
-    if vm.failures[name] >= CONSECUTIVE_ERRORS and out < most:
-        vm.failures[name] = 0
-        vm.out_until[name] = now + CONSECUTIVE_OUT_FOR
-        return True
-    return False
-
-
 def _mean_factor(spread: float) -> float:
     return 2.718281828459045 ** (spread * spread / 2)
 
@@ -567,7 +406,7 @@
     return 2.0 * number / max(1, count - 1) - 1.0
 
 
-def _make_service(shape: Shape) -> services.Service:
+def _make_service(shape: shapes.Shape) -> services.Service:
     limit = shape.work_time * PATIENCE_FACTOR
     kinds = (
         services.Kind("lookup", services.Work.IDEMPOTENT, limit, 1.0),
--- a/bench/choice.py
+++ b/bench/choice.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from . import arrivals, tables
+from . import arrivals, shapes, tables
 
 SECONDS = 12.0
 WARM_UP = 2.0
@@ -18,7 +18,7 @@
     name: str
     """Name of the service."""
 
-    shape: arrivals.Shape
+    shape: shapes.Shape
     """Its size and load."""
 
     mode: str
@@ -47,13 +47,13 @@
 
 def make_cases() -> list[Case]:
     """Return the cases of the table."""
-    shapes = {
-        "desk, 20 x 3": arrivals.Shape(36, 3, 20, 3, 0.5, keyed_share=0.3),
-        "register, 6 x 3": arrivals.Shape(36, 3, 6, 3, 0.5, keyed_share=0.3),
-        "bridge, 8 x 4": arrivals.Shape(36, 4, 8, 4, 0.5, keyed_share=0.3),
+    sizes = {
+        "desk, 20 x 3": shapes.Shape(36, 3, 20, 3, 0.5, keyed_share=0.3),
+        "register, 6 x 3": shapes.Shape(36, 3, 6, 3, 0.5, keyed_share=0.3),
+        "bridge, 8 x 4": shapes.Shape(36, 4, 8, 4, 0.5, keyed_share=0.3),
     }
     cases: list[Case] = []
-    for name, shape in shapes.items():
+    for name, shape in sizes.items():
         for load in LOADS:
             loaded = dataclasses.replace(shape, load=load)
             for mode in (arrivals.ALONE, arrivals.SHARED):
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -114,13 +114,13 @@
         started = time.process_time()
         each = requests // len(self._connections)
 
-        async def send_many(index: int) -> None:
+        async def _send_many(index: int) -> None:
             for _ in range(each):
                 await self._send(index)
 
         async with anyio.create_task_group() as group:
             for index in range(len(self._connections)):
-                group.start_soon(send_many, index)
+                group.start_soon(_send_many, index)
         return requests / (time.process_time() - started)
 
     async def _send(self, index: int) -> None:
@@ -221,14 +221,14 @@
     """Return the tables."""
     found: list[str] = []
 
-    async def run() -> None:
+    async def _run() -> None:
         listeners.log_loop_errors()
         async with anyio.create_task_group() as group:
             found.append(await _measure(group))
             group.cancel_scope.cancel()
 
     options: dict[str, typing.Any] = {"use_uvloop": True}
-    anyio.run(run, backend_options=options)
+    anyio.run(_run, backend_options=options)
     return found[0]
 
 
--- a/bench/detection.py
+++ b/bench/detection.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from . import arrivals, tables
+from . import arrivals, shapes, tables
 
 STARTS_AT = 10.0
 ENDS_AT = 30.0
@@ -22,7 +22,7 @@
     name: str
     """What goes wrong."""
 
-    faults: tuple[arrivals.Fault, ...]
+    faults: tuple[shapes.Fault, ...]
     """How the model brings it about."""
 
     guilty: tuple[int, ...]
@@ -36,7 +36,7 @@
     scenario: Scenario
     """What goes wrong."""
 
-    shape: arrivals.Shape
+    shape: shapes.Shape
     """Size, load and weight."""
 
     mode: str
@@ -81,41 +81,41 @@
 def list_scenarios(targets: int) -> list[Scenario]:
     """Return the faults of the table for a service of so many targets."""
 
-    def fault(indexes: tuple[int, ...], **fields: object) -> arrivals.Fault:
-        return arrivals.Fault(indexes, STARTS_AT, ENDS_AT, **fields)  # type: ignore
+    def _fault(indexes: tuple[int, ...], **fields: object) -> shapes.Fault:
+        return shapes.Fault(indexes, STARTS_AT, ENDS_AT, **fields)  # type: ignore
 
     one, every = (3,), tuple(range(targets))
     place = tuple(number for number in every if number % 3 == 1)
     return [
-        Scenario("errors 5%", (fault(one, error_share=0.05),), one),
-        Scenario("errors 20%", (fault(one, error_share=0.2),), one),
-        Scenario("errors 100%", (fault(one, error_share=1.0),), one),
-        Scenario("straggler 2x", (fault(one, slow_factor=2.0),), one),
-        Scenario("straggler 5x", (fault(one, slow_factor=5.0),), one),
-        Scenario("straggler 20x", (fault(one, slow_factor=20.0),), one),
-        Scenario("hangs", (fault(one, hangs=True),), one),
-        Scenario("one kind fails", (fault(one, error_share=1.0, kind="order"),), one),
-        Scenario("flaps, 4 s", (fault(one, error_share=1.0, period=4.0),), one),
-        Scenario("flaps, 20 s", (fault(one, error_share=1.0, period=20.0),), one),
+        Scenario("errors 5%", (_fault(one, error_share=0.05),), one),
+        Scenario("errors 20%", (_fault(one, error_share=0.2),), one),
+        Scenario("errors 100%", (_fault(one, error_share=1.0),), one),
+        Scenario("straggler 2x", (_fault(one, slow_factor=2.0),), one),
+        Scenario("straggler 5x", (_fault(one, slow_factor=5.0),), one),
+        Scenario("straggler 20x", (_fault(one, slow_factor=20.0),), one),
+        Scenario("hangs", (_fault(one, hangs=True),), one),
+        Scenario("one kind fails", (_fault(one, error_share=1.0, kind="order"),), one),
+        Scenario("flaps, 4 s", (_fault(one, error_share=1.0, period=4.0),), one),
+        Scenario("flaps, 20 s", (_fault(one, error_share=1.0, period=20.0),), one),
         Scenario(
-            "one VM cut from one target", (fault(one, hangs=True, seen_by=_first),), ()
+            "one VM cut from one target", (_fault(one, hangs=True, seen_by=_first),), ()
         ),
         Scenario(
             "one data centre cut from one target",
-            (fault(one, hangs=True, seen_by=_first_place),),
+            (_fault(one, hangs=True, seen_by=_first_place),),
             (),
         ),
         Scenario(
             "targets of one data centre cut off",
-            (fault(place, hangs=True, seen_by=_other_places),),
+            (_fault(place, hangs=True, seen_by=_other_places),),
             (),
         ),
-        Scenario("one VM slow", (fault(every, slow_factor=5.0, seen_by=_first),), ()),
+        Scenario("one VM slow", (_fault(every, slow_factor=5.0, seen_by=_first),), ()),
         Scenario(
-            "one VM sees errors", (fault(every, error_share=0.5, seen_by=_first),), ()
+            "one VM sees errors", (_fault(every, error_share=0.5, seen_by=_first),), ()
         ),
-        Scenario("everything 3x slower", (fault(every, slow_factor=3.0),), ()),
-        Scenario("everything fails 30%", (fault(every, error_share=0.3),), ()),
+        Scenario("everything 3x slower", (_fault(every, slow_factor=3.0),), ()),
+        Scenario("everything fails 30%", (_fault(every, error_share=0.3),), ()),
     ]
 
 
@@ -147,7 +147,7 @@
     return None
 
 
-def format_faults(name: str, shape: arrivals.Shape) -> str:
+def format_faults(name: str, shape: shapes.Shape) -> str:
     """Return the table of all faults for one service."""
     cases = [
         Case(scenario, shape, mode)
@@ -167,7 +167,7 @@
     return tables.format_table(head, rows)
 
 
-def format_curve(name: str, shape: arrivals.Shape, quiet_seconds: float) -> str:
+def format_curve(name: str, shape: shapes.Shape, quiet_seconds: float) -> str:
     """Return detection time against false ejections over the operators' weight."""
     quiet = Scenario("none", (), ())
     wanted = {s.name: s for s in list_scenarios(shape.targets)}
@@ -196,9 +196,9 @@
 
 def format_report() -> str:
     """Return all tables."""
-    desk = arrivals.Shape(36, 3, 20, 3, 0.6, keyed_share=0.3, detection_weight=0.8)
-    register = arrivals.Shape(36, 3, 6, 3, 0.6, keyed_share=0.3, detection_weight=0.8)
-    bridge = arrivals.Shape(36, 3, 8, 4, 0.6, keyed_share=0.3, detection_weight=0.2)
+    desk = shapes.Shape(36, 3, 20, 3, 0.6, keyed_share=0.3, detection_weight=0.8)
+    register = shapes.Shape(36, 3, 6, 3, 0.6, keyed_share=0.3, detection_weight=0.8)
+    bridge = shapes.Shape(36, 3, 8, 4, 0.6, keyed_share=0.3, detection_weight=0.2)
     parts = [
         format_faults("desk", desk),
         format_faults("register", register),
--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -71,13 +71,13 @@
     """Return the table."""
     found: list[str] = []
 
-    async def run() -> None:
+    async def _run() -> None:
         listeners.log_loop_errors()
         async with anyio.create_task_group() as group:
             found.append(await _measure(group))
             group.cancel_scope.cancel()
 
-    anyio.run(run, backend_options={"use_uvloop": True})
+    anyio.run(_run, backend_options={"use_uvloop": True})
     return found[0]
 
 
--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -8,7 +8,7 @@
 
 import random
 
-from zinniastand_core import attempts, evidence, router, services
+from zinniastand_core import attempt_actions, attempts, evidence, router, services
 
 LOOKUP = services.Kind("lookup", services.Work.IDEMPOTENT, time_limit=1.0, weight=1.0)
 ERRORS_SEEN = 8
@@ -48,7 +48,7 @@
         print(f"{weighted.target.name}: weight {weighted.weight:.2f}")
     plan = attempts.Plan(LOOKUP, deadline=now + 1.0, chooser=routing)
     for action in plan.start(now):
-        if isinstance(action, attempts.Send):
+        if isinstance(action, attempt_actions.Send):
             print(f"send to {action.target.name} by {action.deadline:.1f}")
 
 
--- a/packages/zinniastand-core/src/zinniastand_core/attempts.py
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
-import typing
 
-from . import claim_ledger, claim_records, claimer, outcomes, services
+from . import attempt_actions, claim_ledger, claim_records, claimer, outcomes, services
 
 MAX_ATTEMPTS = 4
 REFUSALS_BEFORE_PAUSE = 3
@@ -19,143 +17,12 @@
 OUTAGE_PAUSE = 5.0
 
 
-class Freshness(enum.StrEnum):
-    """Which connections may carry an attempt."""
-
-    ANY = "any"
-    """A pooled connection is fine: a lost request can be sent again."""
-
-    PROVED = "proved"
-    """New, or answered moments ago: nothing may be lost in a silent one."""
-
-    NEW = "new"
-    """A pooled one has just failed; only a new one tells whether the target did."""
-
-
-class Failure(enum.StrEnum):
-    """How an attempt ended without a whole answer."""
-
-    NOT_HANDED = "not-handed"
-    """No connection could be made: the target saw nothing."""
-
-    BUSY = "busy"
-    """This VM has no connection to the target free: nothing was tried."""
-
-    REFUSED = "refused"
-    """The target declared that it refused before starting."""
-
-    SILENT = "silent"
-    """Handed over; then the connection died or gave nothing back."""
-
-    CUT = "cut"
-    """The answer was incomplete or not to this request."""
-
-    OVERDUE = "overdue"
-    """No answer by the deadline."""
-
-
-NOT_STARTED = (Failure.NOT_HANDED, Failure.BUSY, Failure.REFUSED)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Action: send the request to a target."""
-
-    attempt: int
-    """Number to report the result under."""
-
-    target: services.Target
-    """Where to."""
-
-    freshness: Freshness
-    """Which connections may carry it."""
-
-    deadline: float
-    """When the answer is no longer wanted."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cancel:
-    """Action: the answer of an attempt is no longer wanted."""
-
-    attempt: int
-    """Which."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SeekClaim:
-    """Action: seek the claim on the key before anything is sent."""
-
-    claim: claim_records.Claim
-    """The claim."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settle:
-    """Action: put what became of the claim on the log."""
-
-    record: claim_records.Record
-    """The outcome."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Relay:
-    """Action: give the caller the whole answer of an attempt."""
-
-    attempt: int
-    """Which."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refuse:
-    """Action: give the caller an answer of the proxy's own."""
-
-    refusal: outcomes.Refusal
-    """What to say."""
-
-
-Action = Send | Cancel | SeekClaim | Settle | Relay | Refuse
-
-
-class Chooser(typing.Protocol):
-    """Whoever picks targets and rations retries."""
-
-    def choose(
-        self, kind: services.Kind, excluded: typing.AbstractSet[str], now: float
-    ) -> services.Target | None:
-        """Return a target for the next attempt, or None where none may have it."""
-        ...
-
-    def may_retry(self, now: float) -> bool:
-        """Return whether the retry budget allows one more attempt, and spend it."""
-        ...
-
-    def may_hedge(self, now: float) -> bool:
-        """Return whether the hedge budget allows one more, and spend it."""
-        ...
-
-    def find_pause_end(
-        self, kind: services.Kind, deadline: float, now: float
-    ) -> float | None:
-        """Return when to try again after several targets had no free slot.
-
-        None where an answer could not come in time any more.
-        """
-        ...
-
-    def find_hedge_time(
-        self, kind: services.Kind, target: services.Target, now: float
-    ) -> float | None:
-        """Return when a second attempt is worth starting, or None."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Live:
     """An attempt without a result yet."""
 
     target: services.Target
-    freshness: Freshness
+    freshness: attempt_actions.Freshness
     hedge_at: float | None
 
 
@@ -168,7 +35,7 @@
         Kind of work.
     deadline : float
         When the caller no longer waits, in unix seconds like every `now`.
-    chooser : Chooser
+    chooser : attempt_actions.Chooser
         Picks targets.
     claim : claim_records.Claim or None
         The claim to seek; needed for at-most-once work.
@@ -178,7 +45,7 @@
         self,
         kind: services.Kind,
         deadline: float,
-        chooser: Chooser,
+        chooser: attempt_actions.Chooser,
         claim: claim_records.Claim | None = None,
     ) -> None:
         self._kind = kind
@@ -193,7 +60,7 @@
         self._resume_at: float | None = None
         self._may_have_run = False
         self._claim_pending = False
-        self._last_failure: Failure | None = None
+        self._last_failure: attempt_actions.Failure | None = None
         self._ended = False
 
     @property
@@ -206,14 +73,14 @@
         """Whether some attempt may have started the work."""
         return self._may_have_run or bool(self._live)
 
-    def start(self, now: float) -> list[Action]:
+    def start(self, now: float) -> list[attempt_actions.Action]:
         """Begin: seek the claim, or send at once where none is needed."""
         if self._kind.work is services.Work.IDEMPOTENT:
             return self._send_next(now)
         if self._claim is None:
             return self._refuse(outcomes.Reason.KEY_MISSING)
         self._claim_pending = True
-        return [SeekClaim(self._claim)]
+        return [attempt_actions.SeekClaim(self._claim)]
 
     def find_wake_time(self) -> float:
         """Return when `wake` is due: a hedge, the start deadline or the deadline."""
@@ -224,14 +91,16 @@
         times = [live.hedge_at for live in self._live.values() if live.hedge_at]
         return min([self._deadline, *times])
 
-    def take_grant(self, now: float) -> list[Action]:
+    def take_grant(self, now: float) -> list[attempt_actions.Action]:
         """Take in that the claim is ours."""
         if self._ended or not self._claim_pending:
             return []
         self._claim_pending = False
         return self._send_next(now)
 
-    def take_denial(self, denied: claimer.Denied, now: float) -> list[Action]:
+    def take_denial(
+        self, denied: claimer.Denied, now: float
+    ) -> list[attempt_actions.Action]:
         """Take in that the claim is not ours."""
         if self._ended or not self._claim_pending:
             return []
@@ -248,39 +117,49 @@
             case claimer.Denial.UNSETTLED | claimer.Denial.LAPSED:
                 return self._give_up_claim(now)
 
-    def take_answer(self, attempt: int, status: int, now: float) -> list[Action]:
+    def take_answer(
+        self, attempt: int, status: int, now: float
+    ) -> list[attempt_actions.Action]:
         """Take in a whole answer to this request."""
         if self._live.pop(attempt, None) is None or self._ended:
             return []
         self._ended = True
-        actions: list[Action] = [Relay(attempt), *self._cancel_live()]
+        actions: list[attempt_actions.Action] = [
+            attempt_actions.Relay(attempt),
+            *self._cancel_live(),
+        ]
         if self._claim is not None:
             done = claim_records.Done(
                 self._claim.key_digest, self._claim.claim_id, status
             )
-            actions.append(Settle(done))
+            actions.append(attempt_actions.Settle(done))
         return actions
 
-    def take_failure(self, attempt: int, failure: Failure, now: float) -> list[Action]:
+    def take_failure(
+        self, attempt: int, failure: attempt_actions.Failure, now: float
+    ) -> list[attempt_actions.Action]:
         """Take in that an attempt gave no whole answer."""
         live = self._live.pop(attempt, None)
         if live is None or self._ended:
             return []
         self._last_failure = failure
-        if failure not in NOT_STARTED:
+        if failure not in attempt_actions.NOT_STARTED:
             self._may_have_run = True
         if self._live:
             return []
-        if failure is Failure.SILENT and live.freshness is Freshness.ANY:
+        if (
+            failure is attempt_actions.Failure.SILENT
+            and live.freshness is attempt_actions.Freshness.ANY
+        ):
             return self._repeat_on_new(live, now)
         self._excluded.add(live.target.name)
-        if failure in (Failure.REFUSED, Failure.BUSY):
+        if failure in (attempt_actions.Failure.REFUSED, attempt_actions.Failure.BUSY):
             return self._try_after_refusal(now)
         if self._may_run_again() and self._may_attempt(now):
             return self._send_next(now)
         return self._finish_without_answer(now)
 
-    def wake(self, now: float) -> list[Action]:
+    def wake(self, now: float) -> list[attempt_actions.Action]:
         """Act on the time: hedge, or give up at the deadline."""
         if self._ended:
             return []
@@ -293,17 +172,17 @@
             return self._resume(now)
         return self._hedge(now)
 
-    def abandon(self, now: float) -> list[Action]:
+    def abandon(self, now: float) -> list[attempt_actions.Action]:
         """The caller went away: stop what is under way and settle the claim."""
         if self._ended:
             return []
         return [
             action
             for action in self._finish_without_answer(now)
-            if not isinstance(action, Refuse)
+            if not isinstance(action, attempt_actions.Refuse)
         ]
 
-    def _try_after_refusal(self, now: float) -> list[Action]:
+    def _try_after_refusal(self, now: float) -> list[attempt_actions.Action]:
         """Try another target at once, or after a pause where several were full.
 
         With few slots shared by many VMs a full target is an everyday thing; the
@@ -317,14 +196,14 @@
         self._resume_at = self._chooser.find_pause_end(self._kind, self._deadline, now)
         return self._finish_without_answer(now) if self._resume_at is None else []
 
-    def _resume(self, now: float) -> list[Action]:
+    def _resume(self, now: float) -> list[attempt_actions.Action]:
         if self._resume_at is None or now < self._resume_at:
             return []
         self._resume_at = None
         self._excluded.clear()
         return self._send_next(now)
 
-    def _send_next(self, now: float) -> list[Action]:
+    def _send_next(self, now: float) -> list[attempt_actions.Action]:
         # A holder that was paused wakes up here. Its claim is on the log, but it may
         # not start any more: callers were told when the work can no longer begin.
         if self._claim is not None and now >= self._start_deadline:
@@ -334,18 +213,24 @@
         target = self._chooser.choose(self._kind, self._excluded, now)
         if target is None:
             return self._finish_without_answer(now)
-        freshness = Freshness.PROVED if self._claim is not None else Freshness.ANY
+        freshness = (
+            attempt_actions.Freshness.PROVED
+            if self._claim is not None
+            else attempt_actions.Freshness.ANY
+        )
         return [self._send(target, freshness, now)]
 
-    def _send(self, target: services.Target, freshness: Freshness, now: float) -> Send:
+    def _send(
+        self, target: services.Target, freshness: attempt_actions.Freshness, now: float
+    ) -> attempt_actions.Send:
         self._attempts += 1
         hedge_at = None
         if self._claim is None:
             hedge_at = self._chooser.find_hedge_time(self._kind, target, now)
         self._live[self._attempts] = _Live(target, freshness, hedge_at)
-        return Send(self._attempts, target, freshness, self._deadline)
+        return attempt_actions.Send(self._attempts, target, freshness, self._deadline)
 
-    def _repeat_on_new(self, live: _Live, now: float) -> list[Action]:
+    def _repeat_on_new(self, live: _Live, now: float) -> list[attempt_actions.Action]:
         """Try the same target on a new connection before blaming it.
 
         A pooled connection can go silent for good while new ones work. Only a new
@@ -353,9 +238,9 @@
         """
         if now >= self._deadline or not self._may_attempt(now):
             return self._finish_without_answer(now)
-        return [self._send(live.target, Freshness.NEW, now)]
+        return [self._send(live.target, attempt_actions.Freshness.NEW, now)]
 
-    def _hedge(self, now: float) -> list[Action]:
+    def _hedge(self, now: float) -> list[attempt_actions.Action]:
         due = [n for n, live in self._live.items() if live.hedge_at is not None]
         due = [n for n in due if (self._live[n].hedge_at or now) <= now]
         if not due:
@@ -369,7 +254,7 @@
         target = self._chooser.choose(self._kind, self._excluded, now)
         if target is None:
             return []
-        return [self._send(target, Freshness.ANY, now)]
+        return [self._send(target, attempt_actions.Freshness.ANY, now)]
 
     def _may_attempt(self, now: float) -> bool:
         tries = self._attempts - self._refusals
@@ -378,12 +263,14 @@
     def _may_run_again(self) -> bool:
         return self._claim is None or not self._may_have_run
 
-    def _cancel_live(self) -> list[Action]:
-        actions: list[Action] = [Cancel(number) for number in self._live]
+    def _cancel_live(self) -> list[attempt_actions.Action]:
+        actions: list[attempt_actions.Action] = [
+            attempt_actions.Cancel(number) for number in self._live
+        ]
         self._live.clear()
         return actions
 
-    def _give_up_claim(self, now: float) -> list[Action]:
+    def _give_up_claim(self, now: float) -> list[attempt_actions.Action]:
         """Refuse without knowing whether the claim stands on the log.
 
         Nothing was sent, and after this nothing will be, so "not run" is true. The
@@ -395,7 +282,7 @@
 
     def _refuse_owned(
         self, entry: claim_ledger.Entry | None, now: float
-    ) -> list[Action]:
+    ) -> list[attempt_actions.Action]:
         if entry is None:
             # The owner released the key meanwhile: this claim is dead, but the
             # caller may come again with the same key.
@@ -422,16 +309,16 @@
                 outcomes.Outcome.UNKNOWN, outcomes.Reason.KEY_UNKNOWN
             )
         self._ended = True
-        return [Refuse(refusal)]
+        return [attempt_actions.Refuse(refusal)]
 
     def _refuse(
         self, reason: outcomes.Reason, retry_at: float | None = None
-    ) -> list[Action]:
+    ) -> list[attempt_actions.Action]:
         self._ended = True
         refusal = outcomes.Refusal(outcomes.Outcome.NOT_RUN, reason, retry_at)
-        return [Refuse(refusal)]
+        return [attempt_actions.Refuse(refusal)]
 
-    def _finish_without_answer(self, now: float) -> list[Action]:
+    def _finish_without_answer(self, now: float) -> list[attempt_actions.Action]:
         ran = self.may_have_run
         self._ended = True
         actions = self._cancel_live()
@@ -439,24 +326,30 @@
         outcome = outcomes.Outcome.UNKNOWN if ran else outcomes.Outcome.NOT_RUN
         reason = self._explain(ran, now)
         retry_at = None if ran and self._claim is not None else now + REFUSED_PAUSE
-        return [*actions, Refuse(outcomes.Refusal(outcome, reason, retry_at))]
+        return [
+            *actions,
+            attempt_actions.Refuse(outcomes.Refusal(outcome, reason, retry_at)),
+        ]
 
-    def _settle_without_answer(self, ran: bool) -> list[Action]:
+    def _settle_without_answer(self, ran: bool) -> list[attempt_actions.Action]:
         if self._claim is None:
             return []
         key, claim_id = self._claim.key_digest, self._claim.claim_id
         if ran:
-            return [Settle(claim_records.Unknown(key, claim_id))]
-        return [Settle(claim_records.Released(key, claim_id))]
+            return [attempt_actions.Settle(claim_records.Unknown(key, claim_id))]
+        return [attempt_actions.Settle(claim_records.Released(key, claim_id))]
 
     def _explain(self, ran: bool, now: float) -> outcomes.Reason:
-        if self._last_failure is Failure.CUT:
+        if self._last_failure is attempt_actions.Failure.CUT:
             return outcomes.Reason.ANSWER_CUT
         if ran and now < self._deadline:
             return outcomes.Reason.ANSWER_LOST
         if now >= self._deadline:
             return outcomes.Reason.DEADLINE
-        if self._last_failure in (Failure.REFUSED, Failure.BUSY):
+        if self._last_failure in (
+            attempt_actions.Failure.REFUSED,
+            attempt_actions.Failure.BUSY,
+        ):
             return outcomes.Reason.REFUSED_BY_TARGETS
         if self._claim is not None and now >= self._start_deadline:
             return outcomes.Reason.CLAIM_LATE
--- a/packages/zinniastand-core/src/zinniastand_core/control.py
+++ b/packages/zinniastand-core/src/zinniastand_core/control.py
@@ -19,6 +19,8 @@
     timeline,
 )
 
+BEAT_PAUSE = 0.9
+
 Actions = list[control_actions.Action]
 
 
@@ -45,6 +47,7 @@
         events: timeline.Timeline,
     ) -> None:
         self.events = events
+        self._beat_at = 0.0
         self._neighbours = member_exchange.MemberExchange(own, events)
         self.members = self._neighbours.members
         flood = self._neighbours.flood
@@ -58,9 +61,12 @@
 
     def tick(self, now: float) -> Actions:
         """Do what is due; call about twice a second."""
-        actions = self._neighbours.make_beats(
-            self.config.next_offset, self.config.chain.version, now
-        )
+        actions: Actions = []
+        if now >= self._beat_at:
+            self._beat_at = now + BEAT_PAUSE
+            actions += self._neighbours.make_beats(
+                self.config.next_offset, self.config.chain.version, now
+            )
         actions += self._neighbours.check_links(now)
         actions += self.evidence.report(now)
         actions += self.evidence.tell_levels(now)
--- a/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
@@ -247,6 +247,10 @@
 
 
 def _read(fields: typing.Any) -> Message | None:
+    return _read_news(fields) or _read_config(fields) or _read_claims(fields)
+
+
+def _read_news(fields: typing.Any) -> Message | None:
     match fields:
         case [
             1,
@@ -271,13 +275,6 @@
             return Sightings(tuple(_read_sighting(item) for item in items))
         case [3]:
             return MembersAsked()
-        case [4, int(offset), int(version)]:
-            return ConfigAsked(offset, version)
-        case [5, int(offset), list(data)]:
-            return Entries(offset, tuple(_expect_bytes(item) for item in data))
-        case [6, int(offset), bytes(snapshot), list(ejections)]:
-            kept = tuple(_expect_bytes(item) for item in ejections)
-            return ConfigState(offset, snapshot, kept)
         case [7, str(service), [str(vm), str(data_centre)], list(items)]:
             observer = evidence_pool.Observer(vm, data_centre)
             reports = tuple(_read_report(item) for item in items)
@@ -285,6 +282,27 @@
         case [8, str(service), str(pooled_by), int(sequence), list(items)]:
             levels = tuple(_read_level(item) for item in items)
             return Levels(service, pooled_by, sequence, levels)
+        case _:
+            return None
+
+
+def _read_config(fields: typing.Any) -> Message | None:
+    match fields:
+        case [4, int(offset), int(version)]:
+            return ConfigAsked(offset, version)
+        case [5, int(offset), list(data)]:
+            return Entries(offset, tuple(_expect_bytes(item) for item in data))
+        case [6, int(offset), bytes(snapshot), list(ejections)]:
+            kept = tuple(_expect_bytes(item) for item in ejections)
+            return ConfigState(offset, snapshot, kept)
+        case [12, int(offset), int(version)]:
+            return ConfigNotice(offset, version)
+        case _:
+            return None
+
+
+def _read_claims(fields: typing.Any) -> Message | None:
+    match fields:
         case [9, bytes(packed)]:
             return _read_claim_asked(packed)
         case [10, bytes(claim_id), denial, entry]:
@@ -292,8 +310,6 @@
             return ClaimAnswered(claim_id, reason, _read_entry(entry))
         case [11, bytes(packed)]:
             return SettleAsked(packed)
-        case [12, int(offset), int(version)]:
-            return ConfigNotice(offset, version)
         case _:
             return None
 
--- a/packages/zinniastand-core/src/zinniastand_core/router.py
+++ b/packages/zinniastand-core/src/zinniastand_core/router.py
@@ -24,7 +24,7 @@
 
 
 class Router:
-    """Targets of one service as one VM uses them; an `attempts.Chooser`.
+    """Targets of one service as one VM uses them; an `attempt_actions.Chooser`.
 
     Parameters
     ----------
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/fleet_commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/fleet_commands.py
@@ -34,15 +34,15 @@
     """Return a page of every VM, or None for those that did not answer."""
     found: dict[str, dict[str, typing.Any] | None] = {}
 
-    async def fetch_one(url: str) -> None:
+    async def _fetch_one(url: str) -> None:
         found[url] = await _fetch(url, path)
 
-    async def fetch() -> None:
+    async def _fetch_each() -> None:
         async with anyio.create_task_group() as group:
             for url in urls:
-                group.start_soon(fetch_one, url)
+                group.start_soon(_fetch_one, url)
 
-    anyio.run(fetch)
+    anyio.run(_fetch_each)
     return {url: found[url] for url in urls}
 
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/log_access.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/log_access.py
@@ -41,7 +41,7 @@
 def load_chain(config: settings.Settings) -> chain.Chain:
     """Return the accepted chain, or end where the log cannot be read."""
 
-    async def load() -> chain.Chain:
+    async def _load() -> chain.Chain:
         log = platform_log.HttpLog(config.log_url)
         try:
             found, _ = await read_chain(log, config)
@@ -50,7 +50,7 @@
             await log.close()
 
     try:
-        return anyio.run(load)
+        return anyio.run(_load)
     except platform_log.LogRefusedError as error:
         output.fail(f"the log cannot be read: {error}", output.EXIT_UNREACHABLE)
 
@@ -62,7 +62,7 @@
     id, and the rule that every VM applies says whether it won.
     """
 
-    async def run() -> chain.Ruling | None:
+    async def _run() -> chain.Ruling | None:
         log = platform_log.HttpLog(config.log_url)
         try:
             await _append(log, proposal)
@@ -71,7 +71,7 @@
             await log.close()
 
     try:
-        ruling = anyio.run(run)
+        ruling = anyio.run(_run)
     except platform_log.LogRefusedError as error:
         output.fail(f"not published: {error}", output.EXIT_UNREACHABLE)
     if ruling is None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/caller_app.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/caller_app.py
@@ -177,7 +177,7 @@
     ) -> answers.Answer:
         request_id = os.urandom(REQUEST_ID_BYTES).hex().encode()
 
-        async def wait_gone() -> None:
+        async def _wait_gone() -> None:
             while (await receive())["type"] != "http.disconnect":
                 pass
 
@@ -189,7 +189,7 @@
             request_id,
             deadline,
             claim,
-            wait_gone,
+            _wait_gone,
         )
         reply = await run.run()
         if reply.answer is not None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from zinniastand_core import (
+    attempt_actions,
     attempts,
     baselines,
     claim_records,
@@ -167,22 +168,22 @@
                 self._act(self._plan.abandon(self._tools.timer.now()))
                 self._finish(Reply(None, None))
 
-    def _act(self, actions: list[attempts.Action]) -> None:
+    def _act(self, actions: list[attempt_actions.Action]) -> None:
         for action in actions:
             match action:
-                case attempts.Send():
+                case attempt_actions.Send():
                     self._start(action)
-                case attempts.Cancel():
+                case attempt_actions.Cancel():
                     self._scopes[action.attempt].cancel()
-                case attempts.SeekClaim():
+                case attempt_actions.SeekClaim():
                     self._tools.group.start_soon(self._seek, action.claim)
-                case attempts.Settle():
+                case attempt_actions.Settle():
                     self._tools.group.start_soon(
                         self._tools.claims.settle, action.record
                     )
-                case attempts.Relay():
+                case attempt_actions.Relay():
                     self._finish(Reply(self._answers[action.attempt], None))
-                case attempts.Refuse():
+                case attempt_actions.Refuse():
                     self._finish(Reply(None, action.refusal))
 
     def _find_wake_time(self) -> float:
@@ -203,7 +204,7 @@
         self._reply = reply
         self._changed.set()
 
-    def _start(self, send: attempts.Send) -> None:
+    def _start(self, send: attempt_actions.Send) -> None:
         scope = self._scopes[send.attempt] = anyio.CancelScope()
         name = self._targets[send.attempt] = send.target.name
         self._routing.start(name, is_first=send.attempt == 1)
@@ -227,7 +228,9 @@
                 self._act(self._plan.take_denial(verdict, now))
         self._changed.set()
 
-    async def _attempt(self, send: attempts.Send, scope: anyio.CancelScope) -> None:
+    async def _attempt(
+        self, send: attempt_actions.Send, scope: anyio.CancelScope
+    ) -> None:
         started = self._tools.timer.now()
         name = send.target.name
         result: exchange.Result | None = None
@@ -245,13 +248,17 @@
             self._answers[send.attempt] = result.answer
             actions = self._plan.take_answer(send.attempt, result.answer.status, now)
         else:
-            failure = result.failure or attempts.Failure.SILENT
+            failure = result.failure or attempt_actions.Failure.SILENT
             actions = self._plan.take_failure(send.attempt, failure, now)
         self._act(actions)
         self._changed.set()
 
     def _observe(
-        self, send: attempts.Send, result: exchange.Result, took: float, now: float
+        self,
+        send: attempt_actions.Send,
+        result: exchange.Result,
+        took: float,
+        now: float,
     ) -> None:
         name, kind = send.target.name, self._kind.name
         if result.is_leaving:
@@ -260,10 +267,13 @@
             was_counted = send.attempt in self._counted_late
             self._observe_answer(name, result.answer, took, was_counted, now)
             return
-        if result.failure in (attempts.Failure.REFUSED, attempts.Failure.BUSY):
+        if result.failure in (
+            attempt_actions.Failure.REFUSED,
+            attempt_actions.Failure.BUSY,
+        ):
             self._routing.take_shed(name, now)
             return
-        if result.failure is attempts.Failure.SILENT and result.was_pooled:
+        if result.failure is attempt_actions.Failure.SILENT and result.was_pooled:
             # The connection is the first suspect; the repeat on a new one will tell.
             self._note(timeline.EventKind.CONNECTION_SILENT, name, result.detail, now)
             return
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/connections.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/connections.py
@@ -13,7 +13,7 @@
 import anyio
 import httpcore
 
-from zinniastand_core import attempts, services
+from zinniastand_core import attempt_actions, services
 
 PROVED_FOR = 1.0
 IDLE_FOR = 30.0
@@ -79,7 +79,9 @@
         """Connections in use or idle."""
         return self._open
 
-    async def take(self, freshness: attempts.Freshness, now: float) -> Connection:
+    async def take(
+        self, freshness: attempt_actions.Freshness, now: float
+    ) -> Connection:
         """Return a connection that may carry a request.
 
         Raises
@@ -89,7 +91,7 @@
         NoFreeConnectionError
             If all that are allowed are in use.
         """
-        if freshness is not attempts.Freshness.NEW:
+        if freshness is not attempt_actions.Freshness.NEW:
             pooled = self._take_idle(freshness, now)
             if pooled is not None:
                 return pooled
@@ -120,7 +122,7 @@
             await self.discard(self._idle.popleft())
 
     def _take_idle(
-        self, freshness: attempts.Freshness, now: float
+        self, freshness: attempt_actions.Freshness, now: float
     ) -> Connection | None:
         while self._idle:
             connection = self._idle[-1]
@@ -128,7 +130,7 @@
             # a connection that has silently gone dead would swallow it, and nobody
             # could tell whether it ran.
             if (
-                freshness is attempts.Freshness.PROVED
+                freshness is attempt_actions.Freshness.PROVED
                 and connection.proved_until <= now
             ):
                 return None
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
@@ -101,13 +101,35 @@
     async def _run_parts(
         self, group: anyio.abc.TaskGroup, task_status: anyio.abc.TaskStatus[None]
     ) -> None:
-        config, timer = self._config, self._timer
+        config = self._config
         own = membership.Member(
             config.vm,
             config.data_centre,
             config.peers_url,
             int(time.time() * INCARNATION_SCALE),
         )
+        pool = connections.Connections(config.connections_per_target)
+        joined, claims = self._make_fleet(own, group)
+        tools = self._make_tools(own, pool, claims, group)
+        window = caller_app.make_window(config.key_window)
+        callers = caller_app.CallerApp(tools, self.table, window)
+        admin = admin_app.AdminApp(tools, callers, joined, self.table)
+        await group.start(joined.network.serve, config.peers)
+        group.start_soon(joined.run)
+        group.start_soon(claims.run)
+        group.start_soon(self._follow_clock, pool)
+        group.start_soon(self._admin.serve, admin, self._closed.wait)
+        group.start_soon(self._callers.serve, callers, self._closed.wait)
+        self._note(timeline.EventKind.STARTED, f"incarnation {own.incarnation}")
+        task_status.started()
+        await self._stop_wanted.wait()
+        await self._stop(admin, callers, joined, claims)
+        await self._close(pool)
+
+    def _make_fleet(
+        self, own: membership.Member, group: anyio.abc.TaskGroup
+    ) -> tuple[fleet.Fleet, claims_service.ClaimsService]:
+        config, timer = self._config, self._timer
         core = control.Control(own, config.trusted, config.log_retention, self.events)
         self._core = core
         joined = fleet.Fleet(
@@ -124,31 +146,28 @@
         )
         claims.use_peers(joined)
         joined.use_claims(claims)
-        pool = connections.Connections(config.connections_per_target)
-        tools = conductor.Tools(
-            vm=config.vm,
+        return joined, claims
+
+    def _make_tools(
+        self,
+        own: membership.Member,
+        pool: connections.Connections,
+        claims: claims_service.ClaimsService,
+        group: anyio.abc.TaskGroup,
+    ) -> conductor.Tools:
+        return conductor.Tools(
+            vm=own.vm,
             incarnation=own.incarnation,
-            timer=timer,
-            exchanger=exchange.Exchanger(pool, timer),
+            timer=self._timer,
+            exchanger=exchange.Exchanger(pool, self._timer),
             claims=claims,
             group=group,
             metrics=self.metrics,
             events=self.events,
-            max_body_bytes=config.max_body_bytes,
+            max_body_bytes=self._config.max_body_bytes,
         )
-        window = caller_app.make_window(config.key_window)
-        callers = caller_app.CallerApp(tools, self.table, window)
-        admin = admin_app.AdminApp(tools, callers, joined, self.table)
-        await group.start(joined.network.serve, config.peers)
-        group.start_soon(joined.run)
-        group.start_soon(claims.run)
-        group.start_soon(self._follow_clock, pool)
-        group.start_soon(self._admin.serve, admin, self._closed.wait)
-        group.start_soon(self._callers.serve, callers, self._closed.wait)
-        self._note(timeline.EventKind.STARTED, f"incarnation {own.incarnation}")
-        task_status.started()
-        await self._stop_wanted.wait()
-        await self._stop(admin, callers, joined, claims)
+
+    async def _close(self, pool: connections.Connections) -> None:
         await pool.close()
         for adapter in (self._log, self._listing):
             if isinstance(adapter, platform_log.HttpLog | vm_list.HttpVmList):
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/exchange.py
@@ -9,7 +9,7 @@
 import anyio
 import httpcore
 
-from zinniastand_core import attempts, services
+from zinniastand_core import attempt_actions, services
 
 from . import answers, clock, connections, incoming
 
@@ -43,7 +43,7 @@
     answer: answers.Answer | None
     """The whole answer, if there is one."""
 
-    failure: attempts.Failure | None
+    failure: attempt_actions.Failure | None
     """Otherwise, how it failed."""
 
     was_pooled: bool
@@ -71,7 +71,7 @@
         self._pool = pool
         self._timer = timer
 
-    async def exchange(self, send: attempts.Send, task: Task) -> Result:
+    async def exchange(self, send: attempt_actions.Send, task: Task) -> Result:
         """Send the request once and return how it ended, never raising.
 
         Being cancelled closes the connection, which tells the target that the answer
@@ -81,9 +81,9 @@
         try:
             connection = await target.take(send.freshness, self._timer.now())
         except connections.NoFreeConnectionError:
-            return Result(None, attempts.Failure.BUSY, False)
+            return Result(None, attempt_actions.Failure.BUSY, False)
         except connections.NoConnectionError as error:
-            failure = attempts.Failure.NOT_HANDED
+            failure = attempt_actions.Failure.NOT_HANDED
             return Result(None, failure, False, detail=str(error))
         was_pooled = not connection.is_new
         sender = _Sender(connection, task, send)
@@ -98,17 +98,17 @@
             else:
                 target.give_back(connection, self._timer.now())
             return result
-        return Result(None, attempts.Failure.OVERDUE, was_pooled)
+        return Result(None, attempt_actions.Failure.OVERDUE, was_pooled)
 
 
-_REFUSED = attempts.Failure.REFUSED
+_REFUSED = attempt_actions.Failure.REFUSED
 
 
 class _Sender:
     """One request on one connection."""
 
     def __init__(
-        self, connection: connections.Connection, task: Task, send: attempts.Send
+        self, connection: connections.Connection, task: Task, send: attempt_actions.Send
     ) -> None:
         self._connection = connection
         self._task = task
@@ -116,6 +116,7 @@
         self._was_pooled = not connection.is_new
 
     async def run(self) -> Result:
+        """Send the request and return how it ended."""
         request = httpcore.Request(
             self._task.request.method,
             httpcore.URL(
@@ -130,15 +131,15 @@
         try:
             response = await self._connection.http.handle_async_request(request)
         except (httpcore.ConnectionNotAvailable, httpcore.LocalProtocolError) as error:
-            return self._fail(attempts.Failure.NOT_HANDED, error)
+            return self._fail(attempt_actions.Failure.NOT_HANDED, error)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
-            return self._fail(attempts.Failure.SILENT, error)
+            return self._fail(attempt_actions.Failure.SILENT, error)
         try:
             body = await self._read_body(response)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
-            return self._fail(attempts.Failure.CUT, error)
+            return self._fail(attempt_actions.Failure.CUT, error)
         if body is None:
-            return self._fail(attempts.Failure.CUT, "answer body over the bound")
+            return self._fail(attempt_actions.Failure.CUT, "answer body over the bound")
         return self._judge(response, body)
 
     async def _read_body(self, response: httpcore.Response) -> bytes | None:
@@ -158,16 +159,20 @@
         found = dict(headers)
         leaving = b"close" in found.get(b"connection", b"").lower()
         if not _has_stated_end(response.status, found, self._task.request.method):
-            return self._fail(attempts.Failure.CUT, "the answer does not say its end")
+            return self._fail(
+                attempt_actions.Failure.CUT, "the answer does not say its end"
+            )
         echo = self._task.service.echo_header.encode()
         if echo and found.get(echo) != self._task.request_id:
-            return self._fail(attempts.Failure.CUT, "the answer is not to this request")
+            return self._fail(
+                attempt_actions.Failure.CUT, "the answer is not to this request"
+            )
         rule = self._task.service.not_started
         if response.status == rule.status and rule.header.encode() in found:
             detail = found[rule.header.encode()].decode("latin-1")
             return Result(
                 None,
-                attempts.Failure.REFUSED,
+                attempt_actions.Failure.REFUSED,
                 self._was_pooled,
                 is_leaving=detail == "leaving",
                 detail=detail,
@@ -177,7 +182,7 @@
         answer = answers.Answer(response.status, kept, body)
         return Result(answer, None, self._was_pooled, is_leaving=leaving)
 
-    def _fail(self, failure: attempts.Failure, error: object) -> Result:
+    def _fail(self, failure: attempt_actions.Failure, error: object) -> Result:
         detail = f"{type(error).__name__}: {error}"
         if isinstance(error, str):
             detail = error
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
@@ -104,6 +104,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._read_config)
             group.start_soon(self._read_list)
+            group.start_soon(self._call_first_peers)
             group.start_soon(self._tick)
             group.start_soon(self._keep_head)
 
@@ -260,6 +261,17 @@
                 self._note_leaving(listed.leaving_hosts, now)
             await anyio.sleep(LIST_PAUSE)
 
+    async def _call_first_peers(self) -> None:
+        """Call the peers that the settings name, as long as no other VM is known."""
+        members = self._core.members
+        while True:
+            for url in self._config.first_peers:
+                if url != self._config.peers_url and not members.list_alive():
+                    own = peer_messages.Sightings((members.own_sighting,))
+                    asked = peer_messages.MembersAsked()
+                    await self.network.introduce(url, [own, asked])
+            await anyio.sleep(LIST_PAUSE)
+
     def _note_leaving(self, addresses: tuple[str, ...], now: float) -> None:
         for routing in self._table.routers.values():
             for target in routing.service.targets:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/listeners.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/listeners.py
@@ -91,12 +91,12 @@
     ask a cancelled task for its exception; that says nothing, and is dropped.
     """
 
-    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+    def _handle(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         if isinstance(context.get("exception"), asyncio.CancelledError):
             return
         _logger.error(str(context.get("message")), extra={"cause": str(context)})
 
-    asyncio.get_running_loop().set_exception_handler(handle)
+    asyncio.get_running_loop().set_exception_handler(_handle)
 
 
 async def _serve_shielded(
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/peers.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/peers.py
@@ -139,17 +139,22 @@
         self._calling.add(vm)
         self._group.start_soon(self._run_call, vm, url)
 
+    async def introduce(
+        self, url: str, messages: collections.abc.Sequence[peer_messages.Message]
+    ) -> None:
+        """Call a VM whose name is not known, and send it messages."""
+        try:
+            vm, socket = await self._connect(url)
+        except (OSError, TimeoutError, websockets.WebSocketException) as error:
+            _logger.debug("call failed", extra={"url": url, "error": str(error)})
+            return
+        waiting = self._waiting.setdefault(vm, [])
+        waiting += [peer_messages.encode(message) for message in messages]
+        self._group.start_soon(self._run_link, vm, socket)
+
     async def _run_call(self, vm: str, url: str) -> None:
         try:
-            socket = await ws_client.connect(
-                url,
-                ssl=make_client_context(self._tls) if self._tls else None,
-                additional_headers={VM_HEADER: self._own},
-                open_timeout=OPEN_TIMEOUT,
-                max_size=MAX_MESSAGE_BYTES,
-                compression=None,
-                proxy=None,
-            )
+            answered, socket = await self._connect(url)
         except (OSError, TimeoutError, websockets.WebSocketException) as error:
             _logger.debug("call failed", extra={"peer": vm, "error": str(error)})
             self._call_again_at[vm] = self._timer.now() + CALL_PAUSE
@@ -157,12 +162,25 @@
             return
         finally:
             self._calling.discard(vm)
+        await self._run_link(answered, socket)
+
+    async def _connect(self, url: str) -> tuple[str, ws_connection.Connection]:
+        """Return the name of the VM at `url`, and the websocket to it."""
+        socket = await ws_client.connect(
+            url,
+            ssl=make_client_context(self._tls) if self._tls else None,
+            additional_headers={VM_HEADER: self._own},
+            open_timeout=OPEN_TIMEOUT,
+            max_size=MAX_MESSAGE_BYTES,
+            compression=None,
+            proxy=None,
+        )
         response = socket.response
-        answered = response.headers.get(VM_HEADER, "") if response else ""
-        if not self._is_authentic(socket, answered):
+        vm = response.headers.get(VM_HEADER, "") if response else ""
+        if not vm or not self._is_authentic(socket, vm):
             await socket.close()
-            return
-        await self._run_link(answered, socket)
+            raise OSError("the VM did not prove its name")
+        return vm, socket
 
     async def _take_call(self, socket: ws_server.ServerConnection) -> None:
         request = socket.request
@@ -174,13 +192,13 @@
         # our task group, so that stopping cancels it with everything else.
         done = anyio.Event()
 
-        async def run() -> None:
+        async def _run() -> None:
             try:
                 await self._run_link(vm, socket)
             finally:
                 done.set()
 
-        self._group.start_soon(run)
+        self._group.start_soon(_run)
         await done.wait()
 
     async def _run_link(self, vm: str, socket: ws_connection.Connection) -> None:
--- a/packages/zinniastand-standins/src/zinniastand_standins/demo.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/demo.py
@@ -299,14 +299,14 @@
     """Run the demo at both users' sites at once."""
     sites: dict[str, SiteReport] = {}
 
-    async def run_one(user: users.User) -> None:
+    async def _run_one(user: users.User) -> None:
         sites[user.name] = await SiteDemo(user, seed).run()
 
-    async def run_all() -> None:
+    async def _run_all() -> None:
         listeners.log_loop_errors()
         async with anyio.create_task_group() as group:
             for user in (users.AUTHORITY, users.FRANCHISE):
-                group.start_soon(run_one, user)
+                group.start_soon(_run_one, user)
 
-    anyio.run(run_all, backend_options={"use_uvloop": True})
+    anyio.run(_run_all, backend_options={"use_uvloop": True})
     return Report({name: sites[name] for name in sorted(sites)})
--- a/packages/zinniastand-standins/src/zinniastand_standins/site.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/site.py
@@ -149,25 +149,35 @@
         data_centre: str = "dc-1",
         log: platform_log.Log | None = None,
         unready_for: float = 0.2,
+        list_url: str = "",
+        first_peers: collections.abc.Iterable[str] = (),
     ) -> daemon.Daemon:
         """Start a daemon and add it to the VM list."""
         document = self.make_settings(vm, data_centre)
+        if list_url:
+            document["vm_list"]["url"] = list_url
+        urls = [f"ws://{HOST}:{self._peer_ports[name]}" for name in first_peers]
+        document["peers"]["first"] = urls
         config = settings.parse(json.dumps(document), vm)
         if config.is_error():
             raise ValueError(str(config.error))
         process = daemon.Daemon(config.ok, log=log, unready_for=unready_for)
         await self._group.start(process.run)
         self.daemons[vm] = process
+        self.list_vm(vm, data_centre, document["peers"]["url"])
+        return process
+
+    def list_vm(self, vm: str, data_centre: str, peers_url: str) -> None:
+        """Add a VM to the platform's list."""
         self.listing.vms.append(
             {
                 "name": vm,
                 "data_centre": data_centre,
-                "peers_url": document["peers"]["url"],
+                "peers_url": peers_url,
                 "state": "live",
                 "role": "entry",
             }
         )
-        return process
 
     def make_settings(
         self, vm: str, data_centre: str = "dc-1"
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -4,7 +4,13 @@
 
 from machines import claims
 
-from zinniastand_core import attempts, claim_records, outcomes, services
+from zinniastand_core import (
+    attempt_actions,
+    attempts,
+    claim_records,
+    outcomes,
+    services,
+)
 
 NOW = 1000.0
 LOOKUP = services.Kind("lookup", services.Work.IDEMPOTENT, 10.0, 1.0)
@@ -25,7 +31,7 @@
         return None
 
 
-def start_lookup(chooser: attempts.Chooser | None = None) -> attempts.Plan:
+def start_lookup(chooser: attempt_actions.Chooser | None = None) -> attempts.Plan:
     """Return the started plan of idempotent work."""
     plan = attempts.Plan(LOOKUP, NOW + 10, chooser or NoHedges())
     plan.start(NOW)
@@ -37,14 +43,14 @@
     plan = attempts.Plan(claims.KIND, NOW + 10, NoHedges(), CLAIM)
     plan.start(NOW)
     (send,) = plan.take_grant(NOW)
-    assert isinstance(send, attempts.Send)
-    assert send.freshness is attempts.Freshness.PROVED
+    assert isinstance(send, attempt_actions.Send)
+    assert send.freshness is attempt_actions.Freshness.PROVED
     return plan
 
 
-def read_refusal(actions: list[attempts.Action]) -> outcomes.Refusal:
+def read_refusal(actions: list[attempt_actions.Action]) -> outcomes.Refusal:
     """Return the one refusal among the actions."""
-    (found,) = [a.refusal for a in actions if isinstance(a, attempts.Refuse)]
+    (found,) = [a.refusal for a in actions if isinstance(a, attempt_actions.Refuse)]
     return found
 
 
@@ -52,12 +58,12 @@
     # A pooled connection has gone dead without a word. The lookup goes again to the
     # same target on a new connection; only if that fails is another target tried.
     plan = start_lookup()
-    (again,) = plan.take_failure(1, attempts.Failure.SILENT, NOW)
-    assert isinstance(again, attempts.Send)
+    (again,) = plan.take_failure(1, attempt_actions.Failure.SILENT, NOW)
+    assert isinstance(again, attempt_actions.Send)
     assert again.target.name == "a"
-    assert again.freshness is attempts.Freshness.NEW
-    (other,) = plan.take_failure(2, attempts.Failure.SILENT, NOW)
-    assert isinstance(other, attempts.Send)
+    assert again.freshness is attempt_actions.Freshness.NEW
+    (other,) = plan.take_failure(2, attempt_actions.Failure.SILENT, NOW)
+    assert isinstance(other, attempt_actions.Send)
     assert other.target.name == "b"
 
 
@@ -65,16 +71,16 @@
     # The answer to an order is lost. It may have run, so the caller is told "unknown"
     # and the log says so to whoever asks with the same key.
     plan = start_order()
-    actions = plan.take_failure(1, attempts.Failure.SILENT, NOW)
+    actions = plan.take_failure(1, attempt_actions.Failure.SILENT, NOW)
     assert read_refusal(actions).outcome is outcomes.Outcome.UNKNOWN
-    settled = [a.record for a in actions if isinstance(a, attempts.Settle)]
+    settled = [a.record for a in actions if isinstance(a, attempt_actions.Settle)]
     assert settled == [claim_records.Unknown(CLAIM.key_digest, CLAIM.claim_id)]
 
 
 def test_an_order_refused_before_it_started_goes_to_another_target() -> None:
     plan = start_order()
-    (again,) = plan.take_failure(1, attempts.Failure.REFUSED, NOW)
-    assert isinstance(again, attempts.Send)
+    (again,) = plan.take_failure(1, attempt_actions.Failure.REFUSED, NOW)
+    assert isinstance(again, attempt_actions.Send)
     assert again.target.name == "b"
 
 
@@ -84,15 +90,15 @@
     plan = attempts.Plan(claims.KIND, NOW + 10, NoHedges(), CLAIM)
     plan.start(NOW)
     actions = plan.take_grant(NOW + 6)
-    assert not [a for a in actions if isinstance(a, attempts.Send)]
+    assert not [a for a in actions if isinstance(a, attempt_actions.Send)]
     assert read_refusal(actions).outcome is outcomes.Outcome.NOT_RUN
-    settled = [a.record for a in actions if isinstance(a, attempts.Settle)]
+    settled = [a.record for a in actions if isinstance(a, attempt_actions.Settle)]
     assert settled == [claim_records.Released(CLAIM.key_digest, CLAIM.claim_id)]
 
 
 def test_the_final_answer_of_a_request_given_up_comes_at_once() -> None:
     plan = start_order()
-    refusal = read_refusal(plan.take_failure(1, attempts.Failure.CUT, NOW + 1))
+    refusal = read_refusal(plan.take_failure(1, attempt_actions.Failure.CUT, NOW + 1))
     assert refusal.outcome is outcomes.Outcome.UNKNOWN
     assert plan.has_ended
 
@@ -102,27 +108,30 @@
     # long as an answer can still come in time; then the caller is told "not run".
     plan = start_lookup()
     for attempt in (1, 2):
-        (send,) = plan.take_failure(attempt, attempts.Failure.REFUSED, NOW)
-        assert isinstance(send, attempts.Send)
-    assert plan.take_failure(3, attempts.Failure.BUSY, NOW) == []
+        (send,) = plan.take_failure(attempt, attempt_actions.Failure.REFUSED, NOW)
+        assert isinstance(send, attempt_actions.Send)
+    assert plan.take_failure(3, attempt_actions.Failure.BUSY, NOW) == []
     assert plan.find_wake_time() == NOW + 0.1
     (resumed,) = plan.wake(NOW + 0.1)
-    assert isinstance(resumed, attempts.Send)
+    assert isinstance(resumed, attempt_actions.Send)
     assert read_refusal(plan.wake(NOW + 10)).outcome is outcomes.Outcome.UNKNOWN
 
 
 def test_a_hedge_races_and_the_loser_is_cancelled() -> None:
     plan = start_lookup(claims.FirstChooser())
     (hedge,) = plan.wake(NOW)
-    assert isinstance(hedge, attempts.Send)
+    assert isinstance(hedge, attempt_actions.Send)
     assert hedge.target.name == "b"
-    assert plan.take_answer(2, 200, NOW + 1) == [attempts.Relay(2), attempts.Cancel(1)]
+    assert plan.take_answer(2, 200, NOW + 1) == [
+        attempt_actions.Relay(2),
+        attempt_actions.Cancel(1),
+    ]
     assert plan.take_answer(1, 200, NOW + 2) == []
 
 
 def test_a_caller_that_goes_away_takes_its_work_with_it() -> None:
     plan = start_order()
     actions = plan.abandon(NOW + 1)
-    assert attempts.Cancel(1) in actions
-    settled = [a.record for a in actions if isinstance(a, attempts.Settle)]
+    assert attempt_actions.Cancel(1) in actions
+    settled = [a.record for a in actions if isinstance(a, attempt_actions.Settle)]
     assert settled == [claim_records.Unknown(CLAIM.key_digest, CLAIM.claim_id)]
--- a/tests/machines/claims.py
+++ b/tests/machines/claims.py
@@ -16,6 +16,7 @@
 import hypothesis.strategies as st
 
 from zinniastand_core import (
+    attempt_actions,
     attempts,
     claim_ledger,
     claim_records,
@@ -247,16 +248,16 @@
             actions = request.plan.take_answer(sent.attempt, 200, self.now)
         else:
             failure = {
-                "cut": attempts.Failure.CUT,
-                "silent": attempts.Failure.SILENT,
-                "refused": attempts.Failure.REFUSED,
-                "not-handed": attempts.Failure.NOT_HANDED,
-            }.get(how, attempts.Failure.REFUSED)
+                "cut": attempt_actions.Failure.CUT,
+                "silent": attempt_actions.Failure.SILENT,
+                "refused": attempt_actions.Failure.REFUSED,
+                "not-handed": attempt_actions.Failure.NOT_HANDED,
+            }.get(how, attempt_actions.Failure.REFUSED)
             if sent.has_run and failure in (
-                attempts.Failure.REFUSED,
-                attempts.Failure.NOT_HANDED,
+                attempt_actions.Failure.REFUSED,
+                attempt_actions.Failure.NOT_HANDED,
             ):
-                failure = attempts.Failure.SILENT
+                failure = attempt_actions.Failure.SILENT
             actions = request.plan.take_failure(sent.attempt, failure, self.now)
         self.act(request, actions)
 
@@ -379,23 +380,23 @@
             else:
                 self.act(request, request.plan.take_denial(verdict, self.now))
 
-    def act(self, request: Request, actions: list[attempts.Action]) -> None:
+    def act(self, request: Request, actions: list[attempt_actions.Action]) -> None:
         """Carry out a plan's actions."""
         for action in actions:
             match action:
-                case attempts.SeekClaim():
+                case attempt_actions.SeekClaim():
                     seeker = self.claimers[request.vm]
                     self.drive(request.vm, seeker.seek(action.claim, self.now))
-                case attempts.Send():
+                case attempt_actions.Send():
                     deadline = request.claim.start_deadline
                     assert self.now < deadline, "sent after its start deadline"
                     self.sent.append(Sent(request, action.attempt, deadline))
-                case attempts.Settle():
+                case attempt_actions.Settle():
                     seeker = self.claimers[request.vm]
                     self.drive(request.vm, seeker.settle(action.record, self.now))
-                case attempts.Relay():
+                case attempt_actions.Relay():
                     request.was_answered = True
-                case attempts.Refuse():
+                case attempt_actions.Refuse():
                     assert request.told is None
                     assert not request.was_answered
                     request.told = action.refusal
--- a/tests/machines/plants.py
+++ b/tests/machines/plants.py
@@ -15,6 +15,7 @@
 
 from machines import claims, floor, heads
 from zinniastand_core import (
+    attempt_actions,
     attempts,
     chain,
     claimer,
@@ -54,16 +55,18 @@
     """The bug."""
 
 
-def _forget_start_deadline(plan: typing.Any, now: float) -> list[attempts.Action]:
+def _forget_start_deadline(
+    plan: typing.Any, now: float
+) -> list[attempt_actions.Action]:
     plan._start_deadline = plan._deadline + 1000.0
     return _SEND_NEXT(plan, now)
 
 
 def _take_loss_for_not_run(
-    plan: typing.Any, attempt: int, failure: attempts.Failure, now: float
-) -> list[attempts.Action]:
-    lost = (attempts.Failure.SILENT, attempts.Failure.CUT)
-    taken = attempts.Failure.NOT_HANDED if failure in lost else failure
+    plan: typing.Any, attempt: int, failure: attempt_actions.Failure, now: float
+) -> list[attempt_actions.Action]:
+    lost = (attempt_actions.Failure.SILENT, attempt_actions.Failure.CUT)
+    taken = attempt_actions.Failure.NOT_HANDED if failure in lost else failure
     return _TAKE_FAILURE(plan, attempt, taken, now)
 
 
--- a/tests/proxy/test_whole_path.py
+++ b/tests/proxy/test_whole_path.py
@@ -226,3 +226,16 @@
         assert names.isdisjoint({b"x-secret", b"te", b"connection"})
         assert b"for=127.0.0.1" in seen[-1][b"forwarded"]
         assert b"x-request-deadline-ms" in names
+
+
+async def test_a_vm_joins_through_a_first_peer_without_list_and_log() -> None:
+    # A VM starts while both the log and the platform's list are down. It calls the
+    # peer that its settings name, gets the proven head, and serves.
+    async with run_site(2) as (place, client):
+        place.log.is_down = True
+        process = await place.start_daemon(
+            "vm-late", list_url="http://127.0.0.1:9", first_peers=["vm-1"]
+        )
+        await wait_ready(client, process)
+        reply = await client.get(url_of(process, "/items/1"))
+        assert reply.status_code == 200
--- a/tests/scenarios/test_targets.py
+++ b/tests/scenarios/test_targets.py
@@ -7,11 +7,11 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
-from bench import arrivals
+from bench import arrivals, shapes
 
 pytest_bdd.scenarios("targets.feature")
 
-SHAPE = arrivals.Shape(12, 3, 6, 3, 0.5, detection_weight=0.8)
+SHAPE = shapes.Shape(12, 3, 6, 3, 0.5, detection_weight=0.8)
 FADED_SHARE = 0.2
 
 
@@ -19,8 +19,8 @@
 class Run:
     """A run of the model and what was meant to go wrong."""
 
-    shape: arrivals.Shape
-    faults: list[arrivals.Fault]
+    shape: shapes.Shape
+    faults: list[shapes.Fault]
     guilty: set[int]
     starts_at: float = 0.0
     model: arrivals.Model | None = None
@@ -76,21 +76,21 @@
     fields = OF_A_TARGET[fault]
     run.starts_at = seconds
     run.guilty = {number - 1}
-    run.faults.append(arrivals.Fault((number - 1,), seconds, 1e9, **fields))  # type: ignore
+    run.faults.append(shapes.Fault((number - 1,), seconds, 1e9, **fields))  # type: ignore
 
 
 @pytest_bdd.when("after 5 seconds targets 1, 2 and 3 fail every request")
 def _half_sick(run: Run) -> None:
     run.starts_at = 5
     run.guilty = {0, 1, 2}
-    run.faults.append(arrivals.Fault((0, 1, 2), 5, 1e9, error_share=1.0))
+    run.faults.append(shapes.Fault((0, 1, 2), 5, 1e9, error_share=1.0))
 
 
 @pytest_bdd.when(parsers.re(r"after 5 seconds (?P<fault>(VM 1|one data|everything).*)"))
 def _other_fault(run: Run, fault: str) -> None:
     targets, fields = OF_OTHERS[fault]
     run.starts_at = 5
-    run.faults.append(arrivals.Fault(targets, 5, 1e9, **fields))  # type: ignore
+    run.faults.append(shapes.Fault(targets, 5, 1e9, **fields))  # type: ignore
 
 
 @pytest_bdd.when(parsers.parse("{seconds:d} seconds pass"))
