Keep views of the fleet between changes; tell only levels that matter

Cause: in the bench of loads a steady desk VM sent 5.3 KB/s of control, over the 5 KB/s allowed: noise of healthy targets was told to everybody twice a second. Neighbours, pools, appenders and the watch were worked out over all members at each use, which grows with the fleet.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -131,6 +131,7 @@
     rows = []
     for count in FLEET_SIZES:
         fleet = virtual_fleet.Fleet(count)
+        fleet.introduce()
         fleet.run(3)
         fleet.told.clear()
         started = time.process_time()
--- a/packages/zinniastand-core/src/zinniastand_core/evidence_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/evidence_exchange.py
@@ -21,7 +21,9 @@
 MOST_LEASE = 320.0
 FLAP_MEMORY = 900.0
 PROPOSAL_PAUSE = 2.0
-NOTICED_SHARE = 0.25
+NOTICED_SHARE = 0.45
+CHANGED_SHARE = 0.3
+RETELL_AFTER = 1.4
 
 Flood = collections.abc.Callable[
     [peer_messages.Message, str, float], list[control_actions.Action]
@@ -61,8 +63,11 @@
         self._flood = flood
         self._routers: Routers = {}
         self._pools: dict[str, evidence_pool.EvidencePool] = {}
-        self._levels_sent: dict[str, set[str]] = {}
+        self._levels_sent: dict[str, dict[str, float]] = {}
+        self._told_at: dict[str, float] = {}
         self._levels_seen: dict[tuple[str, str], int] = {}
+        self._picked: dict[str, list[str]] = {}
+        self._picked_at = -1
         self._sequence = 0
         self._proposed_at: dict[tuple[str, str], float] = {}
         self._doubting: set[str] = set()
@@ -120,11 +125,12 @@
                 for level in pool.list_levels(watch, now)
                 if _find_highest(level) >= least
             ]
-            named = {level.target for level in levels}
-            cleared = self._levels_sent.get(service, set()) - named
-            if not levels and not cleared:
+            scores = {level.target: _find_highest(level) for level in levels}
+            cleared = set(self._levels_sent.get(service, {})) - set(scores)
+            if not self._is_worth_telling(service, scores, pool.threshold, now):
                 continue
-            self._levels_sent[service] = named
+            self._levels_sent[service] = scores
+            self._told_at[service] = now
             self._sequence += 1
             levels += [evidence_pool.Level(name, 0.0, ()) for name in sorted(cleared)]
             message = peer_messages.Levels(
@@ -134,6 +140,21 @@
             actions += self._flood(message, "", now)
         return actions
 
+    def _is_worth_telling(
+        self, service: str, scores: dict[str, float], threshold: float, now: float
+    ) -> bool:
+        """Return whether scores have changed, or are about to lapse.
+
+        Every VM hears each telling about eight times, so noise must not be told.
+        """
+        before = self._levels_sent.get(service, {})
+        if set(before) != set(scores):
+            return True
+        step = CHANGED_SHARE * threshold
+        if any(abs(scores[name] - before[name]) > step for name in scores):
+            return True
+        return bool(scores) and now >= self._told_at.get(service, now) + RETELL_AFTER
+
     def take_levels(
         self, sender: str, message: peer_messages.Levels, now: float
     ) -> Actions:
@@ -190,9 +211,16 @@
             self._doubting.discard(name)
 
     def _pick_pools(self, service: str) -> list[str]:
-        names = [member.vm for member in self._members.list_alive()]
-        names.append(self._members.own.vm)
-        return rendezvous.pick(f"pool/{service}", names, POOLS_PER_SERVICE)
+        if self._members.revision != self._picked_at:
+            self._picked_at = self._members.revision
+            self._picked.clear()
+        found = self._picked.get(service)
+        if found is None:
+            names = [member.vm for member in self._members.list_alive()]
+            names.append(self._members.own.vm)
+            found = rendezvous.pick(f"pool/{service}", names, POOLS_PER_SERVICE)
+            self._picked[service] = found
+        return found
 
     def _find_pool(self, service: str) -> evidence_pool.EvidencePool | None:
         routing = self._routers.get(service)
--- a/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
@@ -9,6 +9,7 @@
 NEIGHBOUR_SILENT_FOR = 3.0
 LINK_DOUBTED_FOR = 60.0
 REUNION_PAUSE = 5.0
+RING_VALID_FOR = 2.0
 
 Actions = list[control_actions.Action]
 
@@ -39,16 +40,19 @@
         self._links: dict[str, _Link] = {}
         self._doubted_links: dict[str, float] = {}
         self._reunion_at = 0.0
-        self._ring: list[str] | None = None
+        self._ring_revision = -1
+        self._ring_until = 0.0
         self._neighbours: list[str] = []
 
     def list_neighbours(self, now: float) -> list[str]:
         """Return the VMs that this one calls."""
-        names = [member.vm for member in self.members.list_callable(now)]
-        if names != self._ring:
-            self._ring = names
+        revision = self.members.revision
+        if revision != self._ring_revision or now >= self._ring_until:
+            names = [member.vm for member in self.members.list_callable(now)]
             own = self.members.own.vm
             self._neighbours = overlay.pick_neighbours(own, names)
+            self._ring_revision = revision
+            self._ring_until = now + RING_VALID_FOR
         return list(self._neighbours)
 
     def make_beats(self, next_offset: int, version: int, now: float) -> Actions:
--- a/packages/zinniastand-core/src/zinniastand_core/membership.py
+++ b/packages/zinniastand-core/src/zinniastand_core/membership.py
@@ -81,6 +81,8 @@
         self._forget_at: dict[str, float] = {}
         self._digest: bytes | None = None
         self._alive: list[Member] | None = None
+        self._watch: evidence_pool.Watch | None = None
+        self.revision = 0
 
     @property
     def own_sighting(self) -> Sighting:
@@ -171,6 +173,8 @@
     def _forget_views(self) -> None:
         self._digest = None
         self._alive = None
+        self._watch = None
+        self.revision += 1
 
     def _work_out_digest(self) -> bytes:
         total = 0
@@ -182,9 +186,11 @@
 
     def watch(self) -> evidence_pool.Watch:
         """Return how many VMs and data centres can give evidence, with this one."""
-        alive = self.list_alive()
-        places = {member.data_centre for member in alive} | {self.own.data_centre}
-        return evidence_pool.Watch(len(alive) + 1, len(places))
+        if self._watch is None:
+            alive = self.list_alive()
+            places = {member.data_centre for member in alive} | {self.own.data_centre}
+            self._watch = evidence_pool.Watch(len(alive) + 1, len(places))
+        return self._watch
 
     def forget_gone(self, now: float) -> None:
         """Drop members that have been gone for long.
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/claims_service.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/claims_service.py
@@ -34,6 +34,10 @@
         """Return the names of the other VMs that are up."""
         ...
 
+    def read_revision(self) -> int:
+        """Return a number that changes with the members."""
+        ...
+
     async def ask_claim(
         self, vm: str, claim: claim_records.Claim
     ) -> peer_messages.ClaimAnswered | None:
@@ -229,6 +233,8 @@
         self._wait = wait
         self._drivers: dict[int, SliceDriver] = {}
         self._peers: Peers | None = None
+        self._appenders: dict[int, str] = {}
+        self._picked_at = -1
 
     def use_peers(self, peers: Peers) -> None:
         """Name the way to other VMs; without it each VM appends for itself."""
@@ -317,10 +323,18 @@
         return verdict
 
     def _pick_appender(self, number: int) -> str:
-        names = [self._own]
-        if self._peers is not None:
-            names += self._peers.list_alive()
-        return rendezvous.pick(f"slice/{number}", names)[0]
+        if self._peers is None:
+            return self._own
+        revision = self._peers.read_revision()
+        if revision != self._picked_at:
+            self._picked_at = revision
+            self._appenders.clear()
+        appender = self._appenders.get(number)
+        if appender is None:
+            names = [self._own, *self._peers.list_alive()]
+            appender = rendezvous.pick(f"slice/{number}", names)[0]
+            self._appenders[number] = appender
+        return appender
 
     def _find_driver(self, number: int) -> SliceDriver:
         driver = self._drivers.get(number)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
@@ -118,6 +118,10 @@
         """Return the names of the other VMs that are up."""
         return [member.vm for member in self._core.members.list_alive()]
 
+    def read_revision(self) -> int:
+        """Return a number that changes with the members."""
+        return self._core.members.revision
+
     async def ask_claim(
         self, vm: str, claim: claim_records.Claim
     ) -> peer_messages.ClaimAnswered | None:
--- a/packages/zinniastand-standins/src/zinniastand_standins/virtual_fleet.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/virtual_fleet.py
@@ -61,6 +61,13 @@
         for other in self.vms.values():
             other.members.take_list(listed, self.now)
 
+    def introduce(self) -> None:
+        """Let every VM know every other, without the news of a common start."""
+        sightings = [vm.members.own_sighting for vm in self.vms.values()]
+        for process in self.vms.values():
+            for sighting in sightings:
+                process.members.take_sighting(sighting, self.now)
+
     def publish(self, floor: int, by: str = "p") -> None:
         """Append a bundle with another floor."""
         record = self.make_record(floor, f"{by}{len(self.log)}")
