Never reply to a reply

Cause: measuring a fleet of 300 never ended. When a VM is lost, two VMs that see different members each hold the other for a caller and no neighbour; each replied to the other's heartbeat, for ever. Ruled out: the news itself (2,225 messages of one sighting) and the exchange of members (2 messages). Change: heartbeats say whether they are replies; a reply is not replied to.

--- a/packages/zinniastand-core/src/zinniastand_core/control.py
+++ b/packages/zinniastand-core/src/zinniastand_core/control.py
@@ -131,7 +131,7 @@
         actions, wants_reply = self._neighbours.take_beat(sender, beat, now)
         if wants_reply:
             reply = self._neighbours.make_beat(
-                sender, self.config.next_offset, self.config.chain.version, now
+                sender, self.config.next_offset, self.config.chain.version, True, now
             )
             actions.append(control_actions.Tell(sender, reply))
         return actions + self._exchange.take_notice(
--- a/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
+++ b/packages/zinniastand-core/src/zinniastand_core/member_exchange.py
@@ -63,12 +63,12 @@
         for vm in receivers:
             known = self._links.get(vm, _Link(0, now + NEIGHBOUR_SILENT_FOR, 0))
             self._links[vm] = dataclasses.replace(known, sent=known.sent + 1)
-            beat = self.make_beat(vm, next_offset, version, now)
+            beat = self.make_beat(vm, next_offset, version, False, now)
             actions.append(control_actions.Tell(vm, beat))
         return actions
 
     def make_beat(
-        self, vm: str, next_offset: int, version: int, now: float
+        self, vm: str, next_offset: int, version: int, is_reply: bool, now: float
     ) -> peer_messages.Beat:
         """Return a heartbeat for one VM."""
         link = self._links[vm]
@@ -80,6 +80,7 @@
             version=version,
             members_digest=self.members.digest(),
             stamp=self._events.clock.tick(now),
+            is_reply=is_reply,
         )
 
     def take_beat(
@@ -87,7 +88,9 @@
     ) -> tuple[Actions, bool]:
         """Take in a heartbeat; return actions, and whether it wants a reply."""
         self._events.clock.merge(beat.stamp, now)
-        wants_reply = sender not in self.list_neighbours(now)
+        # While two VMs see different members, each may hold the other for a caller
+        # and no neighbour. Replies to replies would then go back and forth for ever.
+        wants_reply = not beat.is_reply and sender not in self.list_neighbours(now)
         known = self._links.get(sender, _Link(0, now, 0))
         self._links[sender] = _Link(
             beat.sequence, now + NEIGHBOUR_SILENT_FOR, known.sent + int(wants_reply)
--- a/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
@@ -48,6 +48,9 @@
     stamp: hybrid_clock.Stamp
     """Its hybrid clock."""
 
+    is_reply: bool
+    """Whether it answers a heartbeat; a reply is never replied to."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sightings:
@@ -199,6 +202,7 @@
                 message.version,
                 message.members_digest,
                 _pack_stamp(message.stamp),
+                message.is_reply,
             ]
         case Sightings():
             fields = [2, [_pack_sighting(item) for item in message.items]]
@@ -261,6 +265,7 @@
             int(version),
             bytes(digest),
             stamp,
+            bool(is_reply),
         ]:
             return Beat(
                 _read_sighting(sighting),
@@ -270,6 +275,7 @@
                 version,
                 digest,
                 _read_stamp(stamp),
+                is_reply,
             )
         case [2, list(items)]:
             return Sightings(tuple(_read_sighting(item) for item in items))
--- a/tests/core/test_control.py
+++ b/tests/core/test_control.py
@@ -135,3 +135,36 @@
         fleet.run(10)
         costs.append(max(fleet.told.values()) / 10)
     assert costs[1] < 1.6 * costs[0]
+
+
+def test_a_reply_is_never_replied_to() -> None:
+    # A VM of a large fleet is lost, and while the news spreads two VMs each hold the
+    # other for a caller but no neighbour. Each used to reply to the other's reply, for
+    # ever; a heartbeat now brings one reply at most.
+    fleet = virtual_fleet.Fleet(8)
+    fleet.run(3)
+    beats: list[peer_messages.Beat] = []
+    strangers = [
+        vm
+        for vm in fleet.vms
+        if vm != "vm-0" and vm not in fleet.vms["vm-0"].list_neighbours(fleet.now)
+    ]
+    for tell in fleet.vms["vm-0"].tick(fleet.now + 1):
+        if isinstance(tell, control_actions.Tell):
+            if isinstance(tell.message, peer_messages.Beat):
+                beats.append(tell.message)
+    stranger = fleet.vms[strangers[0]]
+    (reply,) = [
+        tell.message
+        for tell in stranger.take_message("vm-far", beats[0], fleet.now)
+        if isinstance(tell, control_actions.Tell)
+        and isinstance(tell.message, peer_messages.Beat)
+    ]
+    assert reply.is_reply
+    again = fleet.vms["vm-0"].take_message("vm-far", reply, fleet.now)
+    assert not [
+        tell
+        for tell in again
+        if isinstance(tell, control_actions.Tell)
+        and isinstance(tell.message, peer_messages.Beat)
+    ]
