Let claims wait for company as long as the settings say

Cause: measured, the batch wait changed nothing: the end of each append sent whatever waited at once, so appends came as fast as the log answered. Change: what waits is sent when its time is up, when the batch is full, or at once where the wait is zero. Conclusion: operators can now trade latency for appends.

--- a/packages/zinniastand-core/src/zinniastand_core/claimer.py
+++ b/packages/zinniastand-core/src/zinniastand_core/claimer.py
@@ -166,7 +166,7 @@
             actions = self._apply(records, offset, now)
         else:
             actions = [Read(self._next_offset)]
-        return actions + self._flush(now)
+        return actions + self._flush_due(now)
 
     def take_uncertain(self, batch: int, now: float) -> list[Action]:
         """Take in that an append may or may not have taken effect.
@@ -220,9 +220,7 @@
                 self._drop(claim)
                 actions.append(Denied(claim, Denial.LAPSED, None))
         self._ledger.forget_expired(now)
-        if self._flush_at is not None and self._flush_at <= now:
-            actions += self._flush(now)
-        return actions
+        return actions + self._flush_due(now)
 
     def retry(self, now: float) -> list[Action]:
         """Try again to append outcomes that a refusal left behind."""
@@ -258,6 +256,12 @@
             return []
         return self._flush(now)
 
+    def _flush_due(self, now: float) -> list[Action]:
+        is_full = len(self._waiting) >= MAX_BATCH
+        if is_full or (self._flush_at is not None and self._flush_at <= now):
+            return self._flush(now)
+        return []
+
     def _flush(self, now: float) -> list[Action]:
         if self._in_flight or not self._waiting:
             return []
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/claims_service.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/claims_service.py
@@ -142,6 +142,8 @@
             pending.event.set()
 
     def _flush_later(self) -> None:
+        if self._claimer.is_settled:
+            return
         if self._wait > 0 and not self._flush_due:
             self._flush_due = True
             self._group.start_soon(self._flush)
@@ -165,6 +167,7 @@
             return
         now = self._timer.now()
         self._act(self._claimer.take_appended(action.batch, offset, now))
+        self._flush_later()
 
     def _start_reading(self) -> None:
         if not self._is_reading:
--- a/tests/core/test_claimer.py
+++ b/tests/core/test_claimer.py
@@ -55,6 +55,21 @@
     assert len(claim_records.unpack(append(actions).data).ok) == 48
 
 
+def test_claims_wait_for_company_as_long_as_the_settings_say() -> None:
+    # Claims come while an append is under way. Its end does not send them at once:
+    # they wait their time, so that the log gets fewer and larger appends.
+    seeker = make_claimer(wait=0.05)
+    assert seeker.seek(make_claim(1), NOW) == []
+    first = append(seeker.lapse(NOW + 0.05))
+    seeker.seek(make_claim(2), NOW + 0.052)
+    assert not [
+        action
+        for action in seeker.take_appended(first.batch, 0, NOW + 0.055)
+        if isinstance(action, claimer.Append)
+    ]
+    assert append(seeker.lapse(NOW + 0.102))
+
+
 def test_a_key_cannot_name_two_requests() -> None:
     seeker = make_claimer()
     action = append(seeker.seek(make_claim(1), NOW))
