Try idempotent work elsewhere after a server error

Change: an error (500, 502, 503, 504) of idempotent work is kept and another target is asked, within the retry budget; the error is given if nothing better comes. The model takes the same way through the plan. Conclusion: model and daemon agree; at-most-once work is never tried again.

--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -83,6 +83,7 @@
     entered_at: float = 0.0
     was_harmed: bool = False
     is_over: bool = False
+    errors: set[int] = dataclasses.field(default_factory=set)
 
 
 class Model:
@@ -187,7 +188,7 @@
                 case attempt_actions.Send():
                     self._send(request, action)
                 case attempt_actions.Relay():
-                    self._leave(request, True)
+                    self._leave(request, action.attempt not in request.errors)
                 case attempt_actions.Refuse():
                     self._leave(request, False)
                 case _:
@@ -311,10 +312,9 @@
             self._act(request, plan.take_failure(send.attempt, failure, self.now))
             return
         if result == "error":
-            # A server error in idempotent work: worth another try elsewhere.
             self._observe(state, evidence.Sign.ERROR)
-            failure = attempt_actions.Failure.CUT
-            self._act(request, plan.take_failure(send.attempt, failure, self.now))
+            request.errors.add(send.attempt)
+            self._act(request, plan.take_answer(send.attempt, 500, self.now))
             return
         subject = baselines.Subject(name, request.kind.name)
         sign = vm.router.health.judge_latency(subject, self.now - state.sent_at)
--- a/packages/zinniastand-core/src/zinniastand_core/attempts.py
+++ b/packages/zinniastand-core/src/zinniastand_core/attempts.py
@@ -14,6 +14,7 @@
 MAX_ATTEMPTS = 4
 REFUSALS_BEFORE_PAUSE = 3
 REFUSED_PAUSE = 0.25
+FAILED_STATUSES = frozenset({500, 502, 503, 504})
 OUTAGE_PAUSE = 5.0
 
 
@@ -58,6 +59,7 @@
         self._attempts = 0
         self._refusals = 0
         self._resume_at: float | None = None
+        self._fallback: int | None = None
         self._may_have_run = False
         self._claim_pending = False
         self._last_failure: attempt_actions.Failure | None = None
@@ -121,8 +123,11 @@
         self, attempt: int, status: int, now: float
     ) -> list[attempt_actions.Action]:
         """Take in a whole answer to this request."""
-        if self._live.pop(attempt, None) is None or self._ended:
+        live = self._live.pop(attempt, None)
+        if live is None or self._ended:
             return []
+        if self._claim is None and status in FAILED_STATUSES:
+            return self._try_after_error(attempt, live, now)
         self._ended = True
         actions: list[attempt_actions.Action] = [
             attempt_actions.Relay(attempt),
@@ -182,6 +187,22 @@
             if not isinstance(action, attempt_actions.Refuse)
         ]
 
+    def _try_after_error(
+        self, attempt: int, live: _Live, now: float
+    ) -> list[attempt_actions.Action]:
+        """Try idempotent work elsewhere after a server error.
+
+        A target that fails gray answers with errors, fast and whole. The error is
+        kept, and given to the caller if nothing better comes.
+        """
+        self._fallback = attempt
+        self._excluded.add(live.target.name)
+        if self._live:
+            return []
+        if self._may_attempt(now):
+            return self._send_next(now)
+        return self._finish_without_answer(now)
+
     def _try_after_refusal(self, now: float) -> list[attempt_actions.Action]:
         """Try another target at once, or after a pause where several were full.
 
@@ -321,6 +342,9 @@
     def _finish_without_answer(self, now: float) -> list[attempt_actions.Action]:
         ran = self.may_have_run
         self._ended = True
+        if self._fallback is not None:
+            relay = attempt_actions.Relay(self._fallback)
+            return [relay, *self._cancel_live()]
         actions = self._cancel_live()
         actions += self._settle_without_answer(ran)
         outcome = outcomes.Outcome.UNKNOWN if ran else outcomes.Outcome.NOT_RUN
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -135,3 +135,24 @@
     assert attempt_actions.Cancel(1) in actions
     settled = [a.record for a in actions if isinstance(a, attempt_actions.Settle)]
     assert settled == [claim_records.Unknown(CLAIM.key_digest, CLAIM.claim_id)]
+
+
+def test_a_server_error_is_tried_elsewhere_and_given_only_as_the_last_resort() -> None:
+    # A target fails gray: it answers lookups with errors, fast. Another target is
+    # asked; the caller sees an error only if every try ends in one.
+    plan = start_lookup()
+    (other,) = plan.take_answer(1, 500, NOW)
+    assert isinstance(other, attempt_actions.Send)
+    assert other.target.name == "b"
+    assert plan.take_answer(2, 200, NOW) == [attempt_actions.Relay(2)]
+    failing = start_lookup()
+    for attempt in (1, 2):
+        failing.take_answer(attempt, 500, NOW)
+    assert failing.take_answer(3, 500, NOW) == [attempt_actions.Relay(3)]
+
+
+def test_an_order_that_ends_in_an_error_is_not_tried_again() -> None:
+    plan = start_order()
+    relay, settle = plan.take_answer(1, 500, NOW)
+    assert relay == attempt_actions.Relay(1)
+    assert isinstance(settle, attempt_actions.Settle)
