--- a/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/daemon.py
@@ -84,6 +84,10 @@
         """Return the version of the bundle in force, 0 before any."""
         return self._core.config.chain.version if self._core else 0
 
+    def list_members(self) -> list[membership.Member]:
+        """Return the other VMs that are thought to be up."""
+        return self._core.members.list_alive() if self._core else []
+
     def stop(self) -> None:
         """Begin a graceful stop; a second call stops at once."""
         if self._stop_wanted.is_set():
