--- a/tests/machines/floor.py
+++ b/tests/machines/floor.py
@@ -75,6 +75,22 @@
         )
         self.append(ejections.pack(ejection))
 
+    @hypothesis.stateful.rule(
+        number=st.integers(0, 4), early=st.sampled_from([0.2, 0.6])
+    )
+    def eject_as_a_lease_ends(self, number: int, early: float) -> None:
+        """An ejection is proposed while clocks disagree about the end of the last."""
+        granted = self.writer.ejections.list_granted()
+        if not granted:
+            return
+        self.now = max(self.now, granted[-1].deadline - early)
+        at = round(self.now, 3)
+        ejection = ejections.Ejection("desk", f"t{number}", "vm", at, at + 5, 9.0)
+        self.append(ejections.pack(ejection))
+        for config in self.vms:
+            for offset in range(config.next_offset, len(self.log)):
+                config.take_entry(offset, self.log[offset], self.now)
+
     @hypothesis.stateful.rule(number=st.integers(0, 4), draining=st.booleans())
     def drain(self, number: int, draining: bool) -> None:
         """An operator drains a target, or brings it back."""
