--- a/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
@@ -193,17 +193,7 @@
     """Return the CBOR form of a message."""
     match message:
         case Beat():
-            fields: list[object] = [
-                1,
-                _pack_sighting(message.sighting),
-                message.sequence,
-                message.heard,
-                message.next_offset,
-                message.version,
-                message.members_digest,
-                _pack_stamp(message.stamp),
-                message.is_reply,
-            ]
+            fields = _pack_beat(message)
         case Sightings():
             fields = [2, [_pack_sighting(item) for item in message.items]]
         case MembersAsked():
@@ -234,6 +224,20 @@
     return codec.encode(fields)
 
 
+def _pack_beat(beat: Beat) -> list[object]:
+    return [
+        1,
+        _pack_sighting(beat.sighting),
+        beat.sequence,
+        beat.heard,
+        beat.next_offset,
+        beat.version,
+        beat.members_digest,
+        _pack_stamp(beat.stamp),
+        beat.is_reply,
+    ]
+
+
 def decode(data: bytes) -> expression.Result[Message, str]:
     """Return the message in `data`, or why there is none."""
     decoded = codec.decode(data)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/admin_app.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/admin_app.py
@@ -8,13 +8,13 @@
 
 from zinniastand_core import timeline
 
-from . import caller_app, conductor, fleet, service_table
+from . import caller_app, conductor, fleet, http_app, service_table
 
 JSON = b"application/json"
 TEXT = b"text/plain; version=0.0.4"
 
 
-class AdminApp:
+class AdminApp(http_app.HttpApp):
     """Answers ``/live``, ``/ready``, ``/metrics``, ``/events``, ``/bundle`` and so on.
 
     Parameters
@@ -60,18 +60,13 @@
             return f"no bundle yet: the log is {log}, {peers} peers are up"
         return ""
 
-    async def __call__(
+    async def serve(
         self,
         scope: caller_app.Scope,
         receive: caller_app.Receive,
         send: caller_app.Send,
     ) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await caller_app.serve_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
+        """Serve one request."""
         show = self._pages.get(scope["path"])
         page = show() if show else _Page(404, JSON, '{"error": "no such page"}')
         headers = [
--- a/packages/zinniastand-standins/src/zinniastand_standins/site.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/site.py
@@ -57,6 +57,21 @@
     """Data centres over which targets are spread."""
 
 
+def plan_lookups(targets: int, slots: int, work_time: float) -> ServicePlan:
+    """Return a service that takes nothing but idempotent work, under ``/items``."""
+    return ServicePlan(
+        name="desk",
+        targets=targets,
+        slots=slots,
+        work_time=work_time,
+        floor_slots=1,
+        detection_weight=0.5,
+        kinds=({"name": "lookup", "work": "idempotent", "time_limit_ms": 10_000},),
+        routes=({"path_prefix": "/items", "methods": ["GET"], "kind": "lookup"},),
+        data_centres=("dc-1",),
+    )
+
+
 class Site:
     """Stand-ins and daemons of one user, in one process.
 
