--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -0,0 +1,190 @@
+"""Targets that register themselves, and which of them may get work."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import enum
+
+LAPSE_SHARE = 0.34
+"""Share of a service's targets that must vanish together to look like a lapse of the
+store's leases and not like targets that leave; a release or a scale-in takes a few at a
+time."""
+
+LAPSE_GRACE = 1.2
+"""Seconds for which targets that vanished together stay in use. Below the two seconds
+after which a target that has left may get nothing, by the time that the news takes."""
+
+
+class Phase(enum.StrEnum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    """Takes work."""
+
+    DRAINING = "draining"
+    """Is leaving: serves what it has, and gets nothing new."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A target as it registered itself."""
+
+    target_id: str
+    """Unique name of this start of the target."""
+
+    service: str
+    """Service that it belongs to."""
+
+    host: str
+    """IP number."""
+
+    port: int
+    """TCP port."""
+
+    data_centre: str
+    """Where it runs."""
+
+    slots: int
+    """Requests that it works on at the same time."""
+
+    phase: Phase
+    """Whether it takes work."""
+
+    born: int
+    """Start of this incarnation, unix milliseconds by the target's own clock; 0 where
+    it is not stated."""
+
+    cold_until: float
+    """Until when it is slow after its start, in the reader's clock."""
+
+    position: int
+    """Place of the entry in the order of all entries ever written."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """A target whose entry was removed."""
+
+    target_id: str
+    """Its name."""
+
+    position: int
+    """Place of the removal in the order of all entries ever written."""
+
+
+Change = Entry | Gone
+
+
+class Registry:
+    """All targets known, and what is known of their leaving.
+
+    Changes come from the store and from peers, which read it at different times. Only
+    what stands later in the order of entries counts, so that an old page or a slow
+    peer cannot bring back a target that has left.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._positions: dict[str, int] = {}
+        self._lapsing: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def list_entries(self) -> list[Entry]:
+        """Return all entries, draining ones included."""
+        return list(self._entries.values())
+
+    def find(self, target_id: str) -> Entry | None:
+        """Return the entry of a target, if it is known."""
+        return self._entries.get(target_id)
+
+    def list_usable(self, service: str, now: float) -> list[Entry]:
+        """Return the targets of a service that may get new work."""
+        self._drop_lapsed(now)
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service == service and entry.phase is Phase.READY
+        ]
+
+    def apply(
+        self, changes: collections.abc.Iterable[Change], now: float
+    ) -> list[Change]:
+        """Take in changes; return those that say more than "still there"."""
+        gone: list[Gone] = []
+        news: list[Change] = []
+        for change in changes:
+            if change.position <= self._positions.get(change.target_id, -1):
+                continue
+            self._positions[change.target_id] = change.position
+            if isinstance(change, Gone):
+                gone.append(change)
+            elif self._take_entry(change):
+                news.append(change)
+        return news + self._remove(gone, now)
+
+    def replace(
+        self, entries: collections.abc.Iterable[Entry], position: int, now: float
+    ) -> list[Change]:
+        """Take in a whole listing, read at `position`: what it lacks has gone."""
+        listed = list(entries)
+        names = {entry.target_id for entry in listed}
+        missing = [Gone(name, position) for name in self._entries if name not in names]
+        return self.apply([*listed, *missing], now)
+
+    def remove_misplaced(self, target_id: str) -> None:
+        """Drop a target at whose address another one answered."""
+        self._entries.pop(target_id, None)
+
+    def _take_entry(self, entry: Entry) -> bool:
+        known = self._entries.get(entry.target_id)
+        # A heartbeat that was held up may arrive after its sender started again.
+        if known is not None and entry.born < known.born:
+            return False
+        self._lapsing.pop(entry.target_id, None)
+        self._entries[entry.target_id] = entry
+        return known is None or _differs(known, entry)
+
+    def _remove(self, gone: list[Gone], now: float) -> list[Change]:
+        """Remove targets, slowly where many vanish at the same moment.
+
+        While the store is away the leases of live targets run out, and all of a
+        service may vanish at once though they serve on. Refusing everything until
+        they have registered again would cost seconds of service; a target that has
+        really left is still dropped before it may get no more work.
+        """
+        removed: list[Change] = []
+        known = [one for one in gone if one.target_id in self._entries]
+        for one in known:
+            entry = self._entries[one.target_id]
+            if entry.phase is Phase.READY and self._is_lapse(entry.service, known):
+                self._lapsing.setdefault(one.target_id, now + LAPSE_GRACE)
+                continue
+            del self._entries[one.target_id]
+            removed.append(one)
+        return removed
+
+    def _is_lapse(self, service: str, gone: list[Gone]) -> bool:
+        total = sum(1 for one in self._entries.values() if one.service == service)
+        vanished = {one.target_id for one in gone} | self._lapsing.keys()
+        lost = sum(
+            1
+            for name in vanished
+            if name in self._entries and self._entries[name].service == service
+        )
+        return lost > 1 and lost > LAPSE_SHARE * total
+
+    def _drop_lapsed(self, now: float) -> None:
+        for name in [name for name, at in self._lapsing.items() if at <= now]:
+            del self._lapsing[name]
+            self._entries.pop(name, None)
+
+
+def _differs(known: Entry, entry: Entry) -> bool:
+    """Return whether an entry says more than that its target is still there."""
+    same = dataclasses.replace(
+        known, cold_until=entry.cold_until, position=entry.position
+    )
+    return same != entry
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -0,0 +1,279 @@
+"""Places the requests of one service: who goes where, who waits, who is refused.
+
+One VM does this for a whole service, since 36 VMs that share 18 slots and each see a
+few requests a second can neither count slots in use nor tell a failing target. Every
+VM can do it: the one that does is only a matter of rank, and a VM that reaches nobody
+places its own requests by the same rules. Two dispatchers of one service therefore
+cost some efficiency, never a promise: slots may be given twice, and targets turn away
+what they cannot take.
+
+Waiting. Requests wait here and not at targets: a queue at a target is fixed once sent,
+and work that waits behind a target that turns bad is lost with it. Rank is by priority,
+then by arrival.
+
+Refusing. Load pattern: a burst, or half of the targets lost. A request whose turn would
+come too late is refused on arrival, because a later refusal costs its caller the wait
+and frees nothing. The queue is bounded by time, not by length.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc
+import dataclasses
+import random
+
+from ..deployment import targets
+from . import messages, pool, retry_window, work_times
+
+DOUBT_LIMIT = 0.3
+"""Doubt above which work that may run only once waits for a better target, while a
+better one is busy and the wait still leaves an answer in time."""
+
+WAIT_SHARE = 0.5
+"""Share of the time between a request's objective and its deadline that its wait may
+take from it: beyond that it would hold slots for answers that come too late for most
+callers."""
+
+TICKET_GRACE = 0.3
+"""Seconds after a request's deadline at which its slot is taken back when no report has
+come: reports travel in datagrams, and one may be lost."""
+
+RETURN_PAUSE = 0.25
+"""Least seconds that a refused caller is asked to stay away."""
+
+SLOW_AFTER = 2.5
+"""Times the expected time after which work under way tells that its target is slow."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Grant:
+    """A slot in use."""
+
+    ask: messages.Ask
+    target_id: str
+    started_at: float
+    expected: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Waiting:
+    """A request in the queue; the order is that of the queue."""
+
+    priority: int
+    arrived_at: float
+    ticket: str
+    ask: messages.Ask = dataclasses.field(compare=False)
+
+
+class Dispatcher:
+    """The dispatcher of one service.
+
+    Parameters
+    ----------
+    kinds : work_times.KindTimes
+        How long work takes.
+    retries : retry_window.RetryWindow
+        Bounds attempts after the first.
+    rng : random.Random
+        Spreads the times at which refused callers come back.
+    """
+
+    def __init__(
+        self,
+        kinds: work_times.KindTimes,
+        retries: retry_window.RetryWindow,
+        rng: random.Random,
+    ) -> None:
+        self.pool = pool.Pool(kinds)
+        self._kinds = kinds
+        self._retries = retries
+        self._rng = rng
+        self._grants: dict[str, _Grant] = {}
+        self._queue: list[_Waiting] = []
+
+    @property
+    def queue_length(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        """Slots in use."""
+        return len(self._grants)
+
+    def update_targets(
+        self, entries: collections.abc.Iterable[targets.Entry], now: float
+    ) -> list[messages.Decision]:
+        """Use these targets from now on."""
+        self.pool.update(entries, now)
+        return self._serve_queue(now)
+
+    def ask(self, ask: messages.Ask, now: float) -> list[messages.Decision]:
+        """Take in a request; an ask that came before gets its first answer again."""
+        granted = self._grants.get(ask.ticket)
+        if granted is not None:
+            return [_repeat(granted)]
+        if any(one.ticket == ask.ticket for one in self._queue):
+            return [messages.Wait(ask.ticket)]
+        if ask.attempt == 1:
+            self._retries.add_first(now)
+        elif not self._retries.spend(now):
+            return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
+        if self.pool.is_empty():
+            return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
+        waiting = _Waiting(ask.priority, now, ask.ticket, ask)
+        if self._find_wait(waiting, now) > self._find_patience(ask, now):
+            return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
+        bisect.insort(self._queue, waiting)
+        decisions = self._serve_queue(now)
+        if any(one.ticket == ask.ticket for one in decisions):
+            return decisions
+        return [*decisions, messages.Wait(ask.ticket)]
+
+    def report(self, report: messages.Report, now: float) -> list[messages.Decision]:
+        """Take in how an attempt went; its slot is free again.
+
+        An ask that still waits is forgotten: its caller has left or was answered.
+        """
+        self._queue = [one for one in self._queue if one.ticket != report.ticket]
+        granted = self._grants.pop(report.ticket, None)
+        target_id = granted.target_id if granted is not None else report.target_id
+        state = self.pool.find(target_id)
+        if state is not None:
+            state.tickets.discard(report.ticket)
+            self._learn(state, granted, report, now)
+        return self._serve_queue(now)
+
+    def adopt(self, held: messages.Held, now: float) -> None:
+        """Take over a slot that another dispatcher gave."""
+        state = self.pool.find(held.target_id)
+        if state is not None and held.ask.ticket not in self._grants:
+            self._start(held.ask, state, now)
+
+    def wake(self, now: float) -> list[messages.Decision]:
+        """Act on the time: notice slow targets, take lost slots back, end waits."""
+        for ticket, granted in list(self._grants.items()):
+            state = self.pool.find(granted.target_id)
+            elapsed = now - granted.started_at
+            if state is not None and elapsed > SLOW_AFTER * granted.expected:
+                state.slowness.raise_to(elapsed / granted.expected, now)
+            if now > granted.ask.deadline_at + TICKET_GRACE:
+                del self._grants[ticket]
+                if state is not None:
+                    state.tickets.discard(ticket)
+        return self._serve_queue(now)
+
+    def _serve_queue(self, now: float) -> list[messages.Decision]:
+        decisions: list[messages.Decision] = []
+        left: list[_Waiting] = []
+        for waiting in self._queue:
+            decision = self._place(waiting, now)
+            if decision is None:
+                left.append(waiting)
+            else:
+                decisions.append(decision)
+        self._queue = left
+        return decisions
+
+    def _place(self, waiting: _Waiting, now: float) -> messages.Decision | None:
+        ask = waiting.ask
+        if now >= ask.deadline_at:
+            return self._refuse(ask, messages.RefusalReason.TOO_LATE, now)
+        may_retry = self._retries.find_left(now) >= 1.0
+        offer = self.pool.find_best(ask, may_retry, now)
+        if offer is None or self._is_better_late(ask, offer, now):
+            return None
+        state = self.pool.find(offer.target_id)
+        if state is None:
+            return None
+        if ask.is_idempotent and offer.doubt > 0:
+            state.note_trial(now)
+        granted = self._start(ask, state, now)
+        return messages.Grant(
+            ask.ticket, offer.target_id, offer.doubt, granted.expected
+        )
+
+    def _is_better_late(self, ask: messages.Ask, offer: pool.Offer, now: float) -> bool:
+        """Return whether to wait for a better target than the best free one.
+
+        A failed request is lost, and one that waits a little is not even late: while
+        proven targets are busy, their next free slot is a fraction of the time of one
+        piece of work away.
+        """
+        if ask.is_idempotent or offer.doubt <= DOUBT_LIMIT:
+            return False
+        proved = self.pool.count_proved_slots(DOUBT_LIMIT, now)
+        if not proved:
+            return False
+        mean = self._kinds.find_mean(ask.kind)
+        wait = mean * (1 + len(self._queue)) / proved
+        return now + wait + mean < ask.objective_at
+
+    def _start(self, ask: messages.Ask, state: pool.TargetState, now: float) -> _Grant:
+        expected = self._kinds.find_mean(ask.kind) * state.find_slowness(now)
+        state.tickets.add(ask.ticket)
+        granted = _Grant(ask, state.entry.target_id, now, expected)
+        self._grants[ask.ticket] = granted
+        return granted
+
+    def _learn(
+        self,
+        state: pool.TargetState,
+        granted: _Grant | None,
+        report: messages.Report,
+        now: float,
+    ) -> None:
+        match report.outcome:
+            case messages.Outcome.GOOD:
+                state.belief.take(failed=False, now=now)
+                if granted is not None:
+                    mean = self._kinds.find_mean(granted.ask.kind)
+                    state.slowness.add(report.took / max(mean, 1e-3), now)
+                    self._kinds.add(granted.ask.kind, report.took)
+            case messages.Outcome.FAILED | messages.Outcome.SILENT:
+                state.belief.take(failed=True, now=now)
+            case messages.Outcome.SHED:
+                state.note_shed(now)
+            case messages.Outcome.UNREACHABLE:
+                state.note_unreachable(report.vm, now)
+            case messages.Outcome.MISPLACED:
+                state.note_misplaced(now)
+            case messages.Outcome.ABANDONED:
+                pass
+
+    def _find_wait(self, waiting: _Waiting, now: float) -> float:
+        """Return how long a request would wait for its turn."""
+        capacity = self.pool.find_capacity(now)
+        if capacity <= 0:
+            return 0.0
+        free = any(state.is_free(now) for state in self.pool.list_states())
+        if free and not self._queue:
+            return 0.0
+        ahead = self._queue[: bisect.bisect_left(self._queue, waiting)]
+        work = sum(self._kinds.find_mean(one.ask.kind) for one in ahead)
+        return (work + self._kinds.find_mean(waiting.ask.kind)) / capacity
+
+    def _find_patience(self, ask: messages.Ask, now: float) -> float:
+        """Return how long a request may wait for its turn."""
+        mean = self._kinds.find_mean(ask.kind)
+        beyond = max(0.0, ask.deadline_at - ask.objective_at)
+        latest = ask.objective_at + WAIT_SHARE * beyond
+        return latest - now - mean
+
+    def _refuse(
+        self, ask: messages.Ask, reason: messages.RefusalReason, now: float
+    ) -> messages.Refuse:
+        """Refuse, and spread the returns over the time that the queue needs."""
+        capacity = max(1.0, self.pool.find_capacity(now))
+        work = sum(self._kinds.find_mean(one.ask.kind) for one in self._queue)
+        pause = max(RETURN_PAUSE, work / capacity)
+        return messages.Refuse(
+            ask.ticket, reason, now + pause * (1 + self._rng.random())
+        )
+
+
+def _repeat(granted: _Grant) -> messages.Grant:
+    """Return a grant again, since its first telling may have been lost."""
+    ask = granted.ask
+    return messages.Grant(ask.ticket, granted.target_id, 0.0, granted.expected)
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -0,0 +1,243 @@
+"""The targets of one service as their dispatcher sees them, and what each would cost.
+
+The price of a target for a request is what is expected to be lost by choosing it, in
+units of one failed request: the chance that it fails, the chance that it answers late,
+and a little for how full it is. So doubt, slowness and load are weighed against each
+other from the first slot on.
+
+Load pattern: some targets fail most requests for seconds and answer them faster than
+any other, so they look idle. Choosing the least busy target feeds them. Choosing the
+least doubtful keeps work that may run only once on a few proven targets, and only as
+much of it as they have slots for; idempotent work, which can be tried again, goes to
+the targets in doubt and finds out about them.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from ..deployment import targets
+from . import beliefs, messages, work_times
+
+LATE_PRICE = 0.2
+"""Price of a late answer against a failed one. A late answer still serves its caller;
+operators grant it a tenth to a third of the credit, a failed one none."""
+
+RETRY_PRICE = 0.12
+"""Price of a failed attempt at idempotent work, which is tried again: the time that
+the attempt took, and one retry of the service's budget."""
+
+LOAD_PRICE = 0.04
+"""Price of a full target against an idle one: targets slow down when nearly full."""
+
+DISTANCE_PRICE = 0.002
+"""Price of another data centre: breaks ties only."""
+
+TRIAL_GAIN = 0.35
+"""Worth of learning, by idempotent work, about a target in full doubt."""
+
+TRIAL_PAUSE = 0.15
+"""Seconds between two trials of one target in doubt: its state changes in seconds, so
+more trials cost retries and tell nothing new."""
+
+COLD_SLOWNESS = 2.0
+"""How much slower a target is taken to be until it says that it has warmed up."""
+
+SHED_PAUSE = 0.1
+"""Seconds for which a target that turned work away gets none: about the time in which
+one of its slots comes free."""
+
+UNREACHABLE_PAUSE = 1.0
+"""Seconds for which a target that several VMs cannot reach gets nothing."""
+
+MISPLACED_PAUSE = 3.0
+"""Seconds for which a target whose address another one has gets nothing; by then its
+own entry has gone, or it has said where it is."""
+
+WITNESSES = 2
+"""VMs that must fail to connect before a target counts as unreachable for all. One VM
+alone may itself be cut off."""
+
+IN_TIME_SHARE = 0.6
+"""Share of the time left to the objective below which the mean time of work makes an
+answer surely in time; beyond twice that share it is surely late. Times of work spread
+by a factor of about two around their mean."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A target that a request could go to now."""
+
+    target_id: str
+    """The target."""
+
+    price: float
+    """What choosing it is expected to lose; 1 is a failed request."""
+
+    doubt: float
+    """Probability that it fails the request."""
+
+
+class TargetState:
+    """What the dispatcher knows of one target.
+
+    Parameters
+    ----------
+    entry : targets.Entry
+        As the target registered itself.
+    rates : beliefs.Rates
+        Rates of its service.
+    now : float
+        Seconds.
+    """
+
+    def __init__(self, entry: targets.Entry, rates: beliefs.Rates, now: float) -> None:
+        self.entry = entry
+        self.belief = beliefs.Belief(rates, now)
+        self.slowness = work_times.Slowness(now)
+        self.tickets: set[str] = set()
+        self._paused_until = 0.0
+        self._trial_at = 0.0
+        self._unreachable_for: dict[str, float] = {}
+
+    def is_free(self, now: float) -> bool:
+        """Return whether it has a slot for one more request."""
+        return len(self.tickets) < self.entry.slots and now >= self._paused_until
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether it can be expected to take work at all."""
+        return now >= self._paused_until or self._paused_until - now <= SHED_PAUSE
+
+    def find_slowness(self, now: float) -> float:
+        """Return how many times longer than usual it takes."""
+        slowness = self.slowness.find(now)
+        return slowness * COLD_SLOWNESS if now < self.entry.cold_until else slowness
+
+    def may_try(self, now: float) -> bool:
+        """Return whether another trial of it would tell something."""
+        return now >= self._trial_at
+
+    def note_trial(self, now: float) -> None:
+        """Take in that work was sent to find out about it."""
+        self._trial_at = now + TRIAL_PAUSE
+
+    def note_shed(self, now: float) -> None:
+        """Take in that it turned work away."""
+        self._paused_until = max(self._paused_until, now + SHED_PAUSE)
+
+    def note_misplaced(self, now: float) -> None:
+        """Take in that another target answers at its address."""
+        self._paused_until = max(self._paused_until, now + MISPLACED_PAUSE)
+
+    def note_unreachable(self, vm: str, now: float) -> None:
+        """Take in that a VM could not connect to it."""
+        self._unreachable_for[vm] = now + UNREACHABLE_PAUSE
+        recent = [one for one, at in self._unreachable_for.items() if at > now]
+        if len(recent) >= WITNESSES:
+            self._paused_until = now + UNREACHABLE_PAUSE
+            self._unreachable_for.clear()
+
+
+class Pool:
+    """The targets of one service.
+
+    Parameters
+    ----------
+    kinds : work_times.KindTimes
+        How long work takes.
+    """
+
+    def __init__(self, kinds: work_times.KindTimes) -> None:
+        self.rates = beliefs.Rates()
+        self._kinds = kinds
+        self._states: dict[str, TargetState] = {}
+
+    def update(
+        self, entries: collections.abc.Iterable[targets.Entry], now: float
+    ) -> None:
+        """Use these targets from now on."""
+        fresh: dict[str, TargetState] = {}
+        for entry in entries:
+            state = self._states.get(entry.target_id)
+            if state is None or state.entry.born != entry.born:
+                state = TargetState(entry, self.rates, now)
+            state.entry = entry
+            fresh[entry.target_id] = state
+        self._states = fresh
+
+    def find(self, target_id: str) -> TargetState | None:
+        """Return the state of a target, if it is in use."""
+        return self._states.get(target_id)
+
+    def list_states(self) -> list[TargetState]:
+        """Return the states of all targets."""
+        return list(self._states.values())
+
+    def is_empty(self) -> bool:
+        """Return whether there is no target at all."""
+        return not self._states
+
+    def find_best(self, ask: messages.Ask, may_retry: bool, now: float) -> Offer | None:
+        """Return the cheapest target with a free slot, if there is one.
+
+        Parameters
+        ----------
+        ask : messages.Ask
+            The request.
+        may_retry : bool
+            Whether a failed attempt could be followed by another.
+        now : float
+            Seconds.
+        """
+        best: Offer | None = None
+        for state in self._states.values():
+            if not state.is_free(now) or state.entry.target_id in ask.excluded:
+                continue
+            offer = self._price(state, ask, may_retry, now)
+            if best is None or offer.price < best.price:
+                best = offer
+        return best
+
+    def count_proved_slots(self, limit: float, now: float) -> int:
+        """Return the slots of targets whose doubt is below `limit`."""
+        return sum(
+            state.entry.slots
+            for state in self._states.values()
+            if state.is_usable(now) and state.belief.find_doubt(now) < limit
+        )
+
+    def find_capacity(self, now: float) -> float:
+        """Return the slots that do work, each counted by its speed."""
+        return sum(
+            state.entry.slots
+            * (1 - state.belief.find_doubt(now))
+            / max(1.0, state.find_slowness(now))
+            for state in self._states.values()
+            if state.is_usable(now)
+        )
+
+    def _price(
+        self, state: TargetState, ask: messages.Ask, may_retry: bool, now: float
+    ) -> Offer:
+        doubt = state.belief.find_doubt(now)
+        expected = self._kinds.find_mean(ask.kind) * state.find_slowness(now)
+        load = len(state.tickets) / max(1, state.entry.slots)
+        price = LATE_PRICE * _find_lateness(expected, ask.objective_at - now)
+        price += LOAD_PRICE * load * load
+        if state.entry.data_centre != ask.data_centre:
+            price += DISTANCE_PRICE
+        if not (ask.is_idempotent and may_retry):
+            return Offer(state.entry.target_id, price + doubt, doubt)
+        price += RETRY_PRICE * doubt
+        if ask.attempt == 1 and state.may_try(now):
+            failing = state.belief.find_failing(now)
+            price -= TRIAL_GAIN * 4 * failing * (1 - failing)
+        return Offer(state.entry.target_id, price, doubt)
+
+
+def _find_lateness(expected: float, left: float) -> float:
+    """Return the chance that work is late, by its mean time and the time left."""
+    if left <= 0:
+        return 1.0
+    return min(1.0, max(0.0, expected / (IN_TIME_SHARE * left) - 1.0))
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -0,0 +1,48 @@
+"""The retries that a service may get, as a share of its requests in a sliding time."""
+
+from __future__ import annotations
+
+import collections
+
+
+class RetryWindow:
+    """Counts requests and retries of a service over the last seconds.
+
+    Retries of many VMs together feed an overload: each failed attempt adds another.
+    Counted where all asks of a service come together, they stay a fixed share of its
+    requests whatever fails.
+
+    Parameters
+    ----------
+    ratio : float
+        Most retries per request.
+    slack : float
+        Retries that are allowed beyond that.
+    span : float
+        Seconds that count.
+    """
+
+    def __init__(self, ratio: float, slack: float, span: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._span = span
+        self._firsts: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def add_first(self, now: float) -> None:
+        """Count a request."""
+        self._firsts.append(now)
+
+    def spend(self, now: float) -> bool:
+        """Count a retry if there is room for it."""
+        if self.find_left(now) < 1.0:
+            return False
+        self._retries.append(now)
+        return True
+
+    def find_left(self, now: float) -> float:
+        """Return how many retries there is room for."""
+        for times in (self._firsts, self._retries):
+            while times and times[0] <= now - self._span:
+                times.popleft()
+        return self._ratio * len(self._firsts) + self._slack - len(self._retries)
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
@@ -0,0 +1,85 @@
+"""How long work takes: by kind over all targets, and by target against the others."""
+
+from __future__ import annotations
+
+import math
+
+FIRST_GUESS = 0.2
+"""Seconds that a kind of work is taken to last until one was seen."""
+
+KIND_WEIGHT = 0.05
+"""Weight of a new sample in a kind's mean: the last twenty or so count."""
+
+SPEED_WEIGHT = 0.2
+"""Weight of a new sample in a target's slowness: four slow answers in a row show."""
+
+SLOWNESS_FADES = 8.0
+"""Seconds in which a target's slowness fades by a factor of e without new samples, so
+that one that has recovered is tried again."""
+
+SLOWEST = 20.0
+"""Largest slowness that is kept."""
+
+
+class KindTimes:
+    """Mean time of each kind of work at targets of usual speed."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def find_mean(self, kind: str) -> float:
+        """Return the mean time in seconds."""
+        return self._means.get(kind, FIRST_GUESS)
+
+    @property
+    def means(self) -> dict[str, float]:
+        """Mean seconds of each kind seen so far."""
+        return dict(self._means)
+
+    def set(self, kind: str, seconds: float) -> None:
+        """Take over a mean that another VM has learned."""
+        self._means[kind] = seconds
+
+    def add(self, kind: str, seconds: float) -> None:
+        """Take in how long one piece of work took."""
+        known = self._means.get(kind)
+        if known is None:
+            self._means[kind] = seconds
+        else:
+            self._means[kind] = known + KIND_WEIGHT * (seconds - known)
+
+
+class Slowness:
+    """How many times longer a target takes than is usual.
+
+    Kept as a logarithm, since times of work are skewed: one long piece of work must
+    not weigh as much as many short ones.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._log = 0.0
+        self._at = now
+
+    def find(self, now: float) -> float:
+        """Return the factor; 1 is usual."""
+        return math.exp(self._fade(now))
+
+    def add(self, ratio: float, now: float) -> None:
+        """Take in that one piece of work took `ratio` times the usual."""
+        current = self._fade(now)
+        sample = math.log(min(SLOWEST, max(1 / SLOWEST, ratio)))
+        self._log = current + SPEED_WEIGHT * (sample - current)
+        self._at = now
+
+    def set(self, ratio: float, now: float) -> None:
+        """Take over what another VM has learned."""
+        self._log = math.log(min(SLOWEST, max(1 / SLOWEST, ratio)))
+        self._at = now
+
+    def raise_to(self, ratio: float, now: float) -> None:
+        """Take in that work under way takes at least `ratio` times the usual."""
+        self._log = max(self._fade(now), math.log(min(SLOWEST, max(1.0, ratio))))
+        self._at = now
+
+    def _fade(self, now: float) -> float:
+        return self._log * math.exp(-max(0.0, now - self._at) / SLOWNESS_FADES)
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one request at the VM that holds it."""
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -0,0 +1,167 @@
+"""What becomes of one request after each attempt: another target, or the one answer.
+
+The plan holds the two promises towards callers. Work that may run only once goes to a
+second target only after proof that the first did not run it. "Not run" is said only
+while every attempt so far is known not to have run.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from .. import services
+from ..deployment import configuration
+
+
+class Result(enum.StrEnum):
+    """How one attempt at a target ended."""
+
+    ANSWERED = "answered"
+    """A whole success, or an error of the request itself: goes to the caller."""
+
+    ERROR = "error"
+    """A whole answer by which the target says that it failed; it may have run."""
+
+    BROKEN = "broken"
+    """No whole answer to this request; it may have run."""
+
+    SILENT = "silent"
+    """No answer in the time that the plan allowed; it may have run."""
+
+    TURNED_AWAY = "turned-away"
+    """The target proved that it did not run the request."""
+
+    MISPLACED = "misplaced"
+    """Another target lives at that address and did not run it."""
+
+    UNREACHABLE = "unreachable"
+    """No connection was made, so nothing was sent."""
+
+
+NOT_RUN = frozenset({Result.TURNED_AWAY, Result.MISPLACED, Result.UNREACHABLE})
+
+MOST_UNSENT = 6
+"""Attempts that may end without a connection, beyond the route's own limit of targets.
+Each costs up to a connect timeout, so this bounds what a cut-off VM spends."""
+
+LEAST_LEFT = 0.02
+"""Seconds that must be left for another attempt to make sense: a round trip and the
+quickest work."""
+
+
+class Step(enum.StrEnum):
+    """What to do next."""
+
+    TRY_AGAIN = "try-again"
+    """Ask for another target."""
+
+    RELAY = "relay"
+    """Give the caller the last whole answer."""
+
+    SAY_NOT_RUN = "say-not-run"
+    """Tell the caller that the work has not run, and when to come back."""
+
+    SAY_UNKNOWN = "say-unknown"
+    """Tell the caller that nothing is known of the work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Times:
+    """When things end for one request, in the VM's steady clock."""
+
+    objective_at: float
+    """Until when an answer is in time."""
+
+    deadline_at: float
+    """When the caller gets a final answer, whatever has happened."""
+
+
+class Plan:
+    """The plan of one request.
+
+    Parameters
+    ----------
+    route : configuration.Route
+        Its route, as it stood when the request was read.
+    times : Times
+        When things end for it.
+    """
+
+    def __init__(self, route: configuration.Route, times: Times) -> None:
+        self._route = route
+        self.times = times
+        self._attempts = 0
+        self._sent = 0
+        self._may_have_run = False
+        self._ran_before = False
+        self._has_answer = False
+        self._excluded: list[str] = []
+
+    @property
+    def attempts(self) -> int:
+        """Attempts so far."""
+        return self._attempts
+
+    @property
+    def sent(self) -> int:
+        """Targets that the request was sent to so far."""
+        return self._sent
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some target may have run the request."""
+        return self._may_have_run
+
+    @property
+    def excluded(self) -> tuple[str, ...]:
+        """Targets that it must not go to again."""
+        return tuple(self._excluded)
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the work may run more than once."""
+        return self._route.work is services.Work.IDEMPOTENT
+
+    def start_attempt(self, target_id: str) -> None:
+        """Take in that the request goes to a target."""
+        self._attempts += 1
+        self._ran_before = self._may_have_run
+        self._excluded.append(target_id)
+
+    def mark_sent(self) -> None:
+        """Take in that bytes of it are handed to a connection.
+
+        From here on it counts as run until the target proves the contrary.
+        """
+        self._sent += 1
+        self._may_have_run = True
+
+    def end_attempt(self, result: Result, now: float) -> Step:
+        """Take in how an attempt ended; return what to do next."""
+        if result is Result.ANSWERED:
+            return Step.RELAY
+        if result in NOT_RUN:
+            # Only this attempt is proved not to have run; an earlier one of
+            # idempotent work may have.
+            self._may_have_run = self._ran_before
+        if result is Result.ERROR:
+            self._has_answer = True
+        if self._may_try_again(now):
+            return Step.TRY_AGAIN
+        return self.give_up()
+
+    def give_up(self) -> Step:
+        """Return the final answer when nothing more will be tried."""
+        if self._has_answer:
+            return Step.RELAY
+        return Step.SAY_UNKNOWN if self._may_have_run else Step.SAY_NOT_RUN
+
+    def _may_try_again(self, now: float) -> bool:
+        if now + LEAST_LEFT >= self.times.deadline_at:
+            return False
+        if self._sent >= self._route.max_attempts:
+            return False
+        if self._attempts >= self._route.max_attempts + MOST_UNSENT:
+            return False
+        return self.is_idempotent or not self._may_have_run
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -0,0 +1,283 @@
+"""Datagrams between VMs, encoded as CBOR arrays.
+
+Datagrams rather than connections: what VMs tell each other is small, is worth nothing
+when late, and must not wait behind a connection that has gone silent. Whoever needs an
+answer asks again. Times travel as what is left of them, since steady clocks of two VMs
+have nothing in common.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import cbor2
+
+from zinniastand_core.deployment import targets
+from zinniastand_core.dispatch import messages
+
+from . import ports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """A VM is there, or still is."""
+
+    member: ports.Member
+    """The sender."""
+
+    wants_answer: bool
+    """Whether the receiver shall say the same of itself."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A VM stops soon: it dispatches for nobody from now on."""
+
+    vm: str
+    """The sender."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What the reader of the store has read lately."""
+
+    vm: str
+    """The reader."""
+
+    version: int
+    """Version of the configuration that it uses."""
+
+    position: int
+    """Up to where it has read the targets' entries."""
+
+    since: int
+    """Where the changes begin: whoever has read less far must read for itself."""
+
+    changes: tuple[targets.Change, ...]
+    """Changes of targets from there on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opinion:
+    """What a dispatcher thinks of one target."""
+
+    target_id: str
+    """The target."""
+
+    failing: float
+    """Probability that it is failing."""
+
+    slowness: float
+    """Times that it takes longer than usual."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opinions:
+    """What a dispatcher thinks of its targets, for the VM that would follow it."""
+
+    service: str
+    """The service."""
+
+    items: tuple[Opinion, ...]
+    """One for each target that there is something to say of."""
+
+    times: tuple[tuple[str, float], ...]
+    """Mean seconds of each kind of work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A VM asks for a target."""
+
+    vm: str
+    """The VM."""
+
+    ask: messages.Ask
+    """What it asks."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adopted:
+    """A VM tells a new dispatcher of a slot that it holds already."""
+
+    vm: str
+    """The VM."""
+
+    held: messages.Held
+    """The slot."""
+
+
+Message = (
+    Hello
+    | Leaving
+    | News
+    | Opinions
+    | Asked
+    | Adopted
+    | messages.Grant
+    | messages.Refuse
+    | messages.Wait
+    | messages.Report
+)
+
+
+class UnreadableError(Exception):
+    """A datagram that is none of ours."""
+
+
+def encode(message: Message, now: float) -> bytes:
+    """Return the datagram of a message."""
+    return cbor2.dumps(_pack(message, now))
+
+
+def decode(data: bytes, now: float) -> Message:
+    """Return the message of a datagram.
+
+    Raises
+    ------
+    UnreadableError
+        If it holds none.
+    """
+    try:
+        return _unpack(cbor2.loads(data), now)
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        KeyError,
+        IndexError,
+    ) as error:
+        raise UnreadableError(repr(error)) from error
+
+
+def _pack(message: Message, now: float) -> list[object]:
+    match message:
+        case Hello():
+            return ["h", message.wants_answer, *dataclasses.astuple(message.member)]
+        case Leaving():
+            return ["l", message.vm]
+        case News():
+            changes = [_pack_change(one, now) for one in message.changes]
+            head = [message.vm, message.version, message.position, message.since]
+            return ["n", *head, changes]
+        case Opinions():
+            items = [list(dataclasses.astuple(one)) for one in message.items]
+            return ["o", message.service, items, [list(one) for one in message.times]]
+        case Asked():
+            return ["a", message.vm, *_pack_ask(message.ask, now)]
+        case Adopted():
+            held = message.held
+            return ["k", message.vm, held.target_id, *_pack_ask(held.ask, now)]
+        case messages.Grant():
+            return ["g", *dataclasses.astuple(message)]
+        case messages.Refuse():
+            left = message.retry_at - now
+            return ["r", message.ticket, message.reason.value, left]
+        case messages.Wait():
+            return ["w", message.ticket]
+        case messages.Report():
+            return ["e", *dataclasses.astuple(message)]
+
+
+def _unpack(fields: list, now: float) -> Message:
+    kind, rest = fields[0], fields[1:]
+    match kind:
+        case "h":
+            return Hello(ports.Member(*rest[1:]), bool(rest[0]))
+        case "l":
+            return Leaving(rest[0])
+        case "n":
+            changes = tuple(_unpack_change(one, now) for one in rest[4])
+            return News(rest[0], rest[1], rest[2], rest[3], changes)
+        case "o":
+            items = tuple(Opinion(*one) for one in rest[1])
+            return Opinions(rest[0], items, tuple((name, s) for name, s in rest[2]))
+        case "a":
+            return Asked(rest[0], _unpack_ask(rest[1:], now))
+        case "g":
+            return messages.Grant(*rest)
+        case "r":
+            return messages.Refuse(
+                rest[0], messages.RefusalReason(rest[1]), now + rest[2]
+            )
+        case "w":
+            return messages.Wait(rest[0])
+        case "e":
+            ticket, service, target_id, outcome, took, vm = rest
+            return messages.Report(
+                ticket, service, target_id, messages.Outcome(outcome), took, vm
+            )
+        case "k":
+            held = messages.Held(_unpack_ask(rest[2:], now), rest[1])
+            return Adopted(rest[0], held)
+        case _:
+            raise UnreadableError(f"unknown kind {kind!r:.20}")
+
+
+def _pack_ask(ask: messages.Ask, now: float) -> list[object]:
+    return [
+        ask.ticket,
+        ask.service,
+        ask.kind,
+        ask.is_idempotent,
+        ask.priority,
+        ask.objective_at - now,
+        ask.deadline_at - now,
+        ask.attempt,
+        ask.data_centre,
+        list(ask.excluded),
+    ]
+
+
+def _unpack_ask(fields: list, now: float) -> messages.Ask:
+    ticket, service, kind, is_idempotent, priority, objective, deadline = fields[:7]
+    attempt, data_centre, excluded = fields[7:]
+    return messages.Ask(
+        ticket,
+        service,
+        kind,
+        is_idempotent,
+        priority,
+        now + objective,
+        now + deadline,
+        attempt,
+        data_centre,
+        tuple(excluded),
+    )
+
+
+def _pack_change(change: targets.Change, now: float) -> list[object]:
+    if isinstance(change, targets.Gone):
+        return [change.target_id, change.position]
+    cold_left = max(0.0, change.cold_until - now)
+    return [
+        change.target_id,
+        change.position,
+        change.service,
+        change.host,
+        change.port,
+        change.data_centre,
+        change.slots,
+        change.phase.value,
+        change.born,
+        cold_left,
+    ]
+
+
+def _unpack_change(fields: list, now: float) -> targets.Change:
+    if len(fields) == 2:
+        return targets.Gone(fields[0], fields[1])
+    target_id, position, service, host, port, data_centre, slots = fields[:7]
+    phase, born, cold_left = fields[7:]
+    return targets.Entry(
+        target_id,
+        service,
+        host,
+        port,
+        data_centre,
+        slots,
+        targets.Phase(phase),
+        born,
+        now + cold_left if cold_left else 0.0,
+        position,
+    )
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -0,0 +1,349 @@
+"""The composition root of the edge: wires the parts of one VM and runs them."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import signal
+import time
+import traceback
+
+import anyio
+import anyio.abc
+
+from zinniastand_core.deployment import configuration, routing, targets
+from zinniastand_core.dispatch import messages
+
+from .. import metrics
+from . import (
+    configuration_exchange,
+    datagrams,
+    desk,
+    edge_settings,
+    forwarder,
+    http_server,
+    knowledge_keeper,
+    log_lines,
+    members,
+    peer_link,
+    placement,
+    ports,
+    target_client,
+    vocabulary,
+)
+
+WAKE_PAUSE = 0.05
+"""Seconds between two looks at the time by the dispatchers: lost slots, slow targets
+and waits that end are noticed that late."""
+
+OPINIONS_PAUSE = 0.25
+"""Seconds between two tellings of what a dispatcher thinks: the next one in rank starts
+with knowledge that old."""
+
+SUCCESSORS = 2
+"""VMs that are told what a dispatcher thinks."""
+
+GREET_PAUSE = 1.0
+"""Seconds between greetings of VMs that gave no answer."""
+
+IDLE_PAUSE = 1.0
+"""Seconds between two closings of idle connections."""
+
+STOP_MARGIN = 0.4
+"""Seconds before the limit of a stop at which the process ends by itself."""
+
+STOP_POLL = 0.02
+"""Seconds between two looks for requests in flight while stopping."""
+
+MOST_TRACE = 2_000
+"""Characters of a traceback that go into the log: its end names the place."""
+
+INCARNATION_SCALE = 1000
+"""Incarnations are milliseconds of unix time."""
+
+
+class EdgeDaemon:
+    """One VM's process.
+
+    Parameters
+    ----------
+    settings : edge_settings.Settings
+        Its settings.
+    store : ports.Store
+        The platform's store.
+    words : vocabulary.Vocabulary
+        Headers of the platform.
+    log : log_lines.LogLines
+        Where decisions are noted.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        settings: edge_settings.Settings,
+        store: ports.Store,
+        words: vocabulary.Vocabulary,
+        log: log_lines.LogLines,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._words = words
+        self._log = log
+        self._rng = rng
+        self._is_stopping = False
+        self._stop_wanted = anyio.Event()
+        self.metrics = metrics.Metrics()
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stop_wanted.set()
+
+    def reload(self) -> None:
+        """Note that the settings changed.
+
+        What the settings hold is fixed while a process runs: addresses, and the bounds
+        of the deployment. The next start reads them anew.
+        """
+        self._log.write("reload", changed=False)
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until stopped; started once the listeners are up."""
+        self._build()
+        settings = self._settings
+        self._log.write("started", incarnation=self._fleet.own.incarnation)
+        async with anyio.create_task_group() as group:
+            peers = settings.peers
+            group.start_soon(self._link.run, self._receive)
+            group.start_soon(
+                configuration_exchange.serve, peers.host, peers.port, self._read_current
+            )
+            for server, address in (
+                (self._callers, settings.callers),
+                (self._readiness, settings.readiness),
+                (self._exporter, settings.metrics),
+            ):
+                await group.start(server.serve, address.host, address.port)
+            group.start_soon(self._keeper.run)
+            group.start_soon(self._wake_desk)
+            group.start_soon(self._tell_opinions)
+            group.start_soon(self._greet)
+            group.start_soon(self._close_idle)
+            group.start_soon(self._log.run)
+            task_status.started()
+            await self._stop_wanted.wait()
+            await self._stop()
+            group.cancel_scope.cancel()
+        await self._client.close()
+        await self._store.close()
+        self._log.write("stopped", cut_off=self._callers.in_flight)
+        self._log.flush()
+
+    def _build(self) -> None:
+        settings, log = self._settings, self._log
+        now = anyio.current_time()
+        peers = settings.peers
+        self._link = peer_link.PeerLink(peers.host, peers.port, log)
+        own = ports.Member(
+            settings.vm,
+            settings.data_centre,
+            peers.host,
+            self._link.port,
+            int(time.time() * INCARNATION_SCALE),
+        )
+        self._fleet = members.Members(own, now)
+        self._configured = configuration.ConfigurationState()
+        knowledge = forwarder.Knowledge(
+            self._configured, routing.Router(self._rng), targets.Registry()
+        )
+        self._desk = desk.Desk(
+            knowledge.registry, settings.retries, self._rng, self._deliver
+        )
+        self._placement = placement.Placement(self._fleet, self._link, log)
+        self._placement.use_desk(self._desk)
+        self._client = target_client.TargetClient(self._words)
+        self._keeper = knowledge_keeper.KnowledgeKeeper(
+            self._store,
+            knowledge,
+            self._fleet,
+            self._link,
+            log,
+            self._use_targets,
+            self._rng,
+        )
+        tools = forwarder.Tools(
+            knowledge, self._placement, self._client, self._words, log, self.metrics
+        )
+        handler = forwarder.Forwarder(
+            tools, settings.vm, settings.data_centre, own.incarnation
+        )
+        self._callers = http_server.Server(handler, self._read_limits, self._note_error)
+        self._readiness = http_server.Server(
+            _Page(self._answer_readiness), configuration.Limits, self._note_error
+        )
+        self._exporter = http_server.Server(
+            _Page(self._answer_metrics), configuration.Limits, self._note_error
+        )
+
+    def _read_current(self) -> configuration.Configuration | None:
+        return self._configured.current
+
+    def _read_limits(self) -> configuration.Limits:
+        current = self._configured.current
+        return current.limits if current is not None else configuration.Limits()
+
+    def _note_error(self, error: BaseException) -> None:
+        text = "".join(traceback.format_exception(error))
+        self._log.write("unexpected_error", trace=text[-MOST_TRACE:])
+
+    def _answer_readiness(self) -> http_server.Reply:
+        is_ready = self._keeper.is_complete and not self._is_stopping
+        return http_server.Reply(200 if is_ready else 503, [], b"")
+
+    def _answer_metrics(self) -> http_server.Reply:
+        for name, value in (
+            ("zinniastand_requests_in_flight", self._callers.in_flight),
+            ("zinniastand_datagrams_sent_total", self._link.sent),
+            ("zinniastand_datagram_bytes_sent_total", self._link.sent_bytes),
+            ("zinniastand_target_connections_opened_total", self._client.opened),
+            ("zinniastand_configuration_version", self._configured.version),
+            ("zinniastand_log_lines_dropped", self._log.dropped),
+        ):
+            self.metrics.set_gauge(name, value)
+        body = self.metrics.format_text().encode()
+        return http_server.Reply(200, [(b"content-type", b"text/plain")], body)
+
+    def _use_targets(self) -> None:
+        self._desk.update_targets(anyio.current_time())
+
+    def _deliver(self, vm: str, decision: messages.Decision) -> None:
+        member = self._fleet.find(vm)
+        if vm == self._fleet.own.vm:
+            self._placement.take_decision(decision)
+        elif member is not None:
+            self._link.send(decision, member)
+
+    def _receive(self, message: datagrams.Message) -> None:
+        now = anyio.current_time()
+        match message:
+            case datagrams.Hello():
+                self._take_hello(message, now)
+            case datagrams.Leaving():
+                self._fleet.remove(message.vm)
+            case datagrams.News():
+                self._fleet.note_heard(message.vm, now)
+                self._keeper.take_news(message)
+            case datagrams.Opinions():
+                self._take_opinions(message, now)
+            case datagrams.Asked():
+                self._fleet.note_heard(message.vm, now)
+                self._desk.ask(message.vm, message.ask, now)
+            case datagrams.Adopted():
+                self._desk.adopt(message.vm, message.held, now)
+            case messages.Report():
+                self._desk.report(message, now)
+            case messages.Grant() | messages.Refuse() | messages.Wait():
+                self._placement.take_decision(message)
+
+    def _take_hello(self, hello: datagrams.Hello, now: float) -> None:
+        if self._fleet.add(hello.member):
+            self._log.write("vm_joined", peer=hello.member.vm)
+        self._fleet.note_heard(hello.member.vm, now)
+        if hello.wants_answer and not self._is_stopping:
+            reply = datagrams.Hello(self._fleet.own, wants_answer=False)
+            self._link.send(reply, hello.member)
+
+    def _take_opinions(self, opinions: datagrams.Opinions, now: float) -> None:
+        """Take over what another dispatcher thinks, unless this one is at work."""
+        known = self._desk.find(opinions.service)
+        if known is None or not known.in_flight:
+            self._desk.take_opinions(opinions, now)
+
+    async def _wake_desk(self) -> None:
+        while True:
+            await anyio.sleep(WAKE_PAUSE)
+            self._desk.wake(anyio.current_time())
+
+    async def _tell_opinions(self) -> None:
+        while True:
+            await anyio.sleep(OPINIONS_PAUSE)
+            self._tell_opinions_now()
+
+    def _tell_opinions_now(self) -> None:
+        now = anyio.current_time()
+        own = self._fleet.own.vm
+        for service in self._desk.services:
+            known = self._desk.find(service)
+            if known is None or not known.in_flight:
+                continue
+            ranked = [vm for vm in self._fleet.rank_heard(service, now) if vm != own]
+            successors = [self._fleet.find(vm) for vm in ranked[:SUCCESSORS]]
+            self._link.send_many(
+                self._desk.summarize(service, now),
+                [member for member in successors if member is not None],
+            )
+
+    async def _greet(self) -> None:
+        while True:
+            await anyio.sleep(GREET_PAUSE)
+            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
+            silent = self._fleet.list_suspects(anyio.current_time())
+            self._link.send_many(hello, silent)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await anyio.sleep(IDLE_PAUSE)
+            await self._client.close_idle(anyio.current_time())
+
+    async def _stop(self) -> None:
+        """Stop in the order that cuts nobody off.
+
+        The balancer goes on sending until it has noticed that readiness is gone, and
+        those requests are served. Only then do idle connections close, and the
+        process ends when nothing is under way or the limit is near.
+        """
+        limit = anyio.current_time() + self._settings.stop_limit - STOP_MARGIN
+        self._is_stopping = True
+        self._callers.is_stopping = True
+        self._log.write("stopping", in_flight=self._callers.in_flight)
+        self._tell_opinions_now()
+        self._link.send_many(
+            datagrams.Leaving(self._fleet.own.vm), self._fleet.list_others()
+        )
+        await anyio.sleep(self._settings.unready_after)
+        await self._callers.close_idle()
+        while self._callers.in_flight and anyio.current_time() < limit:
+            await anyio.sleep(STOP_POLL)
+
+
+class _Page:
+    """A handler with one answer."""
+
+    def __init__(self, answer: collections.abc.Callable[[], http_server.Reply]) -> None:
+        self._answer = answer
+
+    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
+        """Return the answer."""
+        return self._answer()
+
+
+async def run_until_signal(daemon: EdgeDaemon) -> None:
+    """Run a daemon until SIGTERM or SIGINT asks it to stop."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, daemon)
+        await daemon.run()
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(daemon: EdgeDaemon) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                daemon.reload()
+            else:
+                daemon.stop()
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -0,0 +1,120 @@
+"""Settings of the edge: JSON with comments, checked whole before anything starts."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+import expression
+import json5
+
+from zinniastand_core import documents, findings
+
+from . import desk
+
+MOST_PORT = 65_535
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where to listen or to connect."""
+
+    host: str
+    """IP number."""
+
+    port: int
+    """TCP or UDP port."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Everything that a process of the edge is told at start."""
+
+    vm: str
+    """Name of this VM."""
+
+    data_centre: str
+    """Where it runs."""
+
+    callers: Address
+    """Listener for callers."""
+
+    readiness: Address
+    """Listener for the balancer's question whether this VM takes traffic."""
+
+    metrics: Address
+    """Listener for whoever collects metrics."""
+
+    peers: Address
+    """Listener for other VMs, datagrams and connections."""
+
+    store: Address
+    """The platform's store."""
+
+    stop_limit: float
+    """Seconds from the signal to stop until the process is killed."""
+
+    unready_after: float
+    """Seconds that the balancer may take to notice that this VM is not ready."""
+
+    retries: desk.RetryBudget
+    """Retries that a service may get."""
+
+
+def load(path: pathlib.Path) -> expression.Result[Settings, findings.Findings]:
+    """Return the settings in a file, or every finding in it."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        found = findings.Finding(str(path), f"cannot be read: {error}")
+        return expression.Error(findings.Findings((found,)))
+    return parse(text, str(path))
+
+
+def parse(text: str, place: str) -> expression.Result[Settings, findings.Findings]:
+    """Return the settings in a text; `place` names it in findings."""
+    try:
+        document = json5.loads(text)
+    except ValueError as error:
+        found = findings.Finding(place, f"not JSON with comments: {error}")
+        return expression.Error(findings.Findings((found,)))
+    collector = documents.Collector()
+    reader = documents.Reader(document, "", collector)
+    result = _read(reader)
+    reader.refuse_unknown()
+    if collector.found:
+        return expression.Error(collector.collect())
+    return expression.Ok(result)
+
+
+def _read(reader: documents.Reader) -> Settings:
+    retries = reader.read_object("retries", optional=True)
+    result = Settings(
+        vm=reader.read_text("vm"),
+        data_centre=reader.read_text("data_centre"),
+        callers=_read_address(reader, "callers"),
+        readiness=_read_address(reader, "readiness"),
+        metrics=_read_address(reader, "metrics"),
+        peers=_read_address(reader, "peers"),
+        store=_read_address(reader, "store"),
+        stop_limit=reader.read_number("stop_limit_s", 6.0, 0.1, 3600),
+        unready_after=reader.read_number("unready_after_s", 2.5, 0, 60),
+        retries=desk.RetryBudget(
+            ratio=retries.read_number("ratio", 0.2, 0, 10),
+            slack=retries.read_number("slack", 10.0, 0, 1e6),
+            window=retries.read_number("window_s", 10.0, 0.1, 3600),
+        ),
+    )
+    retries.refuse_unknown()
+    return result
+
+
+def _read_address(reader: documents.Reader, name: str) -> Address:
+    """Return an address written as ``IP:PORT``."""
+    text = reader.read_text(name)
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > MOST_PORT:
+        if text:
+            reader.add(name, f"expected IP:PORT, got {text!r}")
+        return Address("", 0)
+    return Address(host, int(port))
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
@@ -0,0 +1,240 @@
+"""One HTTP/1.1 request and its answer on a connection, by the engine `h11`.
+
+`h11` is what `hypercorn` and `httpx` are built on. It is used directly where the proxy
+must know which bytes came on which connection: how an answer was framed, what followed
+it, and whether a connection is still clean (memory and start-up time in
+docs/PLATFORM.md).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import anyio
+import anyio.abc
+import h11
+
+READ_BYTES = 65_536
+"""Most bytes taken from a connection at once: what h11 reads by default."""
+
+MOST_HEAD_BYTES = 65_536
+"""Largest head of an answer; targets send a few hundred bytes."""
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BrokenAnswerError(Exception):
+    """The bytes that came are no whole answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request with its whole body."""
+
+    method: bytes
+    """Method, as the caller wrote it."""
+
+    path: bytes
+    """Path and query, as the caller wrote them."""
+
+    headers: Headers
+    """Headers with lower-case names, without those that frame the body."""
+
+    body: bytes
+    """Body, empty where there is none."""
+
+    has_body: bool
+    """Whether the request states a body, even an empty one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    """Status code."""
+
+    headers: Headers
+    """Headers with lower-case names."""
+
+    body: bytes
+    """Body."""
+
+    is_reusable: bool
+    """Whether the connection may carry another request."""
+
+    trailing: bytes
+    """Bytes that came after the answer and belong to no request yet."""
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of a header, if it is there."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, if it is there."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+def encode_request(request: Request) -> tuple[h11.Connection, bytes]:
+    """Return a client engine that awaits the answer, and the bytes to send."""
+    engine = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES)
+    headers = list(request.headers)
+    if request.has_body:
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    head = h11.Request(method=request.method, target=request.path, headers=headers)
+    data = engine.send(head) or b""
+    if request.body:
+        data += engine.send(h11.Data(data=request.body)) or b""
+    data += engine.send(h11.EndOfMessage()) or b""
+    return engine, data
+
+
+class Exchange:
+    """A request on its way over one connection.
+
+    Parameters
+    ----------
+    stream : anyio.abc.ByteStream
+        The connection.
+    request : Request
+        What to send.
+    """
+
+    def __init__(self, stream: anyio.abc.ByteStream, request: Request) -> None:
+        self._stream = stream
+        self._request = request
+        self._engine, self._data = encode_request(request)
+        self._is_sent = False
+        self.received = 0
+
+    async def run(self) -> Answer:
+        """Send the request and return the answer.
+
+        A target may answer before it has read a long body. Sending and reading
+        therefore go on at the same time; where the answer comes first, the connection
+        is not used again, since the rest of the body is still due on it.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If no whole answer came.
+        """
+        if len(self._data) <= READ_BYTES // 4:
+            await self._send()
+            return await self._read()
+        ended: Answer | BrokenAnswerError = BrokenAnswerError("cancelled")
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._send_quietly)
+            try:
+                ended = await self._read()
+            except BrokenAnswerError as error:
+                ended = error  # A task group would wrap it in a group.
+            group.cancel_scope.cancel()
+        if isinstance(ended, BrokenAnswerError):
+            raise ended
+        answer = ended
+        if not self._is_sent:
+            return dataclasses.replace(answer, is_reusable=False)
+        return answer
+
+    async def read_next(self, trailing: bytes) -> Answer:
+        """Return the answer that follows one which belongs to another request."""
+        self._engine, _ = encode_request(self._request)
+        self._engine.receive_data(trailing)
+        return await self._read()
+
+    async def _send(self) -> None:
+        try:
+            await self._stream.send(self._data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise BrokenAnswerError(f"cannot send: {error!r}") from error
+        self._is_sent = True
+
+    async def _send_quietly(self) -> None:
+        # The reader finds out what became of the connection: an answer that came
+        # before the reset still counts.
+        try:
+            await self._send()
+        except BrokenAnswerError:
+            return
+
+    async def _read(self) -> Answer:
+        head: h11.Response | None = None
+        body: list[bytes] = []
+        while True:
+            try:
+                event = self._engine.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenAnswerError(f"not an answer: {error}") from error
+            match event:
+                case h11.Response():
+                    head = event
+                case h11.Data():
+                    body.append(bytes(event.data))
+                case h11.EndOfMessage() if head is not None:
+                    return self._finish(head, b"".join(body))
+                case h11.InformationalResponse():
+                    continue
+                case h11.ConnectionClosed():
+                    raise BrokenAnswerError("closed before an answer")
+                case _:
+                    await self._receive()
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            # Only an orderly end may finish an answer without a length; a reset
+            # may have cut it, and must not make it look whole.
+            data = b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise BrokenAnswerError(f"reset: {error!r}") from error
+        self.received += len(data)
+        try:
+            self._engine.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise BrokenAnswerError(f"not an answer: {error}") from error
+
+    def _finish(self, head: h11.Response, body: bytes) -> Answer:
+        trailing, is_closed = self._engine.trailing_data
+        is_reusable = (
+            self._engine.their_state is h11.DONE
+            and self._engine.our_state is h11.DONE
+            and not trailing
+            and not is_closed
+        )
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        return Answer(head.status_code, headers, body, is_reusable, bytes(trailing))
+
+
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+
+def strip_connection_headers(headers: Headers) -> Headers:
+    """Return the headers that travel on, without those of this connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = CONNECTION_HEADERS | named
+    return [(name, value) for name, value in headers if name not in dropped]
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -0,0 +1,356 @@
+"""Serves callers over HTTP/1.1, one task a connection.
+
+Each request is read whole before it is handed on, so that it can be sent again, and
+each answer is known whole before its first byte goes out, so that a cut one is never
+taken for an answer.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import anyio.abc
+import h11
+
+from zinniastand_core.deployment import configuration
+
+from . import http_exchange
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted. When the queue is full the opening packet
+is dropped and comes again only after seconds."""
+
+LINGER = 0.05
+"""Seconds between the last answer on a connection and its close, so that a caller that
+sends on reads the answer before it sees a reset."""
+
+MOST_CONNECTIONS = 2_500
+"""Connections of callers at a time. Each takes a descriptor, and so does each attempt
+at a target; together they stay below the descriptors of the smallest VMs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incoming:
+    """A whole request of a caller."""
+
+    request: http_exchange.Request
+    """The request, without headers that concern the connection only."""
+
+    host: str
+    """Whom the caller asked."""
+
+    read_at: float
+    """When its first byte was read, in the VM's steady clock."""
+
+    caller: Caller
+    """Who waits for the answer."""
+
+
+class Caller:
+    """The side that waits for one answer; it may leave before."""
+
+    def __init__(self) -> None:
+        self.has_left = False
+        self._scope: anyio.CancelScope | None = None
+        self._may_cancel: typing.Callable[[], bool] | None = None
+
+    def watch(
+        self, scope: anyio.CancelScope, may_cancel: typing.Callable[[], bool]
+    ) -> None:
+        """Cancel `scope` when the caller leaves, if `may_cancel` says so then."""
+        self._scope = scope
+        self._may_cancel = may_cancel
+
+    def leave(self) -> None:
+        """Take in that the caller has gone."""
+        self.has_left = True
+        if self._scope is not None and self._may_cancel is not None:
+            if self._may_cancel():
+                self._scope.cancel()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """What the caller gets."""
+
+    status: int
+    """Status code."""
+
+    headers: http_exchange.Headers
+    """Headers without those that frame the body."""
+
+    body: bytes
+    """Whole body."""
+
+
+class Handler(typing.Protocol):
+    """Answers requests."""
+
+    async def handle(self, incoming: Incoming) -> Reply:
+        """Return the answer to one request."""
+        ...
+
+
+class Server:
+    """A listener and its connections.
+
+    Parameters
+    ----------
+    handler : Handler
+        Answers the requests.
+    read_limits : callable
+        Returns what callers may send; asked anew for each request.
+    note_error : callable
+        Takes an error that no part expected, so that it is not lost.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        read_limits: collections.abc.Callable[[], configuration.Limits],
+        note_error: collections.abc.Callable[[BaseException], None],
+    ) -> None:
+        self._handler = handler
+        self._read_limits = read_limits
+        self._note_error = note_error
+        self._idle: set[_Connection] = set()
+        self._open = 0
+        self.in_flight = 0
+        self.is_stopping = False
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until cancelled; started with the port in use."""
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, backlog=BACKLOG, reuse_port=False
+        )
+        async with listener:
+            raw = listener.extra(anyio.abc.SocketAttribute.local_port)
+            task_status.started(raw)
+            await listener.serve(self._serve_connection)
+
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self._idle):
+            await anyio.aclose_forcefully(connection.stream)
+
+    def note_idle(self, connection: _Connection, is_idle: bool) -> None:
+        """Take in whether a connection waits for a request."""
+        if is_idle:
+            self._idle.add(connection)
+        else:
+            self._idle.discard(connection)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        if self._open >= MOST_CONNECTIONS:
+            await anyio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        connection = _Connection(self, stream, self._handler, self._read_limits)
+        try:
+            await connection.serve()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError):
+            return  # The caller is gone, and with it whoever could be told.
+        except Exception as error:
+            # Without this, a fault met by one request would end the listener and
+            # with it every other request of this VM.
+            self._note_error(error)
+        finally:
+            self._open -= 1
+            self._idle.discard(connection)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+
+class _BadRequestError(Exception):
+    """The request is refused for its form."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        server: Server,
+        stream: anyio.abc.SocketStream,
+        handler: Handler,
+        read_limits: collections.abc.Callable[[], configuration.Limits],
+    ) -> None:
+        self.stream = stream
+        self._server = server
+        self._handler = handler
+        self._read_limits = read_limits
+        limits = read_limits()
+        self._engine = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+        )
+        self._limits = limits
+        self._first_byte_at: float | None = None
+
+    async def serve(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            self._limits = self._read_limits()
+            try:
+                incoming = await self._read_request()
+            except _BadRequestError as error:
+                await self._send(Reply(error.status, [], b""), must_close=True)
+                await anyio.sleep(LINGER)
+                return
+            if incoming is None:
+                return
+            self._server.in_flight += 1
+            try:
+                is_open = await self._answer(incoming)
+            finally:
+                self._server.in_flight -= 1
+            if not is_open or self._engine.our_state is not h11.DONE:
+                return
+            if self._engine.their_state is not h11.DONE:
+                return
+            self._engine.start_next_cycle()
+
+    async def _answer(self, incoming: Incoming) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        reply: Reply | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch, incoming.caller)
+            reply = await self._handler.handle(incoming)
+            group.cancel_scope.cancel()
+        if reply is None or incoming.caller.has_left:
+            return False
+        await self._send(reply, must_close=self._server.is_stopping)
+        return True
+
+    async def _watch(self, caller: Caller) -> None:
+        """Read ahead while a request is under way, to notice that the caller left."""
+        received = 0
+        while received <= self._limits.max_head_bytes:
+            try:
+                data = await self.stream.receive()
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                caller.leave()
+                return
+            received += len(data)
+            self._engine.receive_data(data)
+
+    async def _read_request(self) -> Incoming | None:
+        """Return the next request, or None where the connection ends before one."""
+        head = await self._read_head()
+        if head is None:
+            return None
+        body = await self._read_body()
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        has_body = any(
+            name in (b"content-length", b"transfer-encoding") for name, _ in headers
+        )
+        host = http_exchange.find_header(headers, b"host") or b""
+        request = http_exchange.Request(
+            bytes(head.method),
+            bytes(head.target),
+            http_exchange.strip_connection_headers(headers),
+            body,
+            has_body,
+        )
+        read_at = self._first_byte_at or anyio.current_time()
+        self._first_byte_at = None
+        return Incoming(request, host.decode("latin-1"), read_at, Caller())
+
+    async def _read_head(self) -> h11.Request | None:
+        has_begun = bool(self._engine.trailing_data[0])
+        if has_begun:
+            self._first_byte_at = anyio.current_time()
+        while True:
+            event = self._next_event()
+            match event:
+                case h11.Request():
+                    return event
+                case h11.ConnectionClosed():
+                    return None
+                case _:
+                    if not await self._receive_head():
+                        return None
+
+    async def _receive_head(self) -> bool:
+        """Read more of a head; return False where the connection ends before one."""
+        if self._first_byte_at is None:
+            self._server.note_idle(self, is_idle=True)
+            with anyio.move_on_after(self._limits.idle_timeout):
+                is_open = await self._receive()
+                self._server.note_idle(self, is_idle=False)
+                self._first_byte_at = anyio.current_time()
+                return is_open
+            return False
+        left = self._first_byte_at + self._limits.head_timeout - anyio.current_time()
+        with anyio.move_on_after(left):
+            return await self._receive()
+        raise _BadRequestError(408)
+
+    async def _read_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._next_event()
+            match event:
+                case h11.Data():
+                    parts.append(bytes(event.data))
+                    size += len(event.data)
+                    if size > self._limits.max_body_bytes:
+                        raise _BadRequestError(413)
+                case h11.EndOfMessage():
+                    return b"".join(parts)
+                case _:
+                    await self._receive_body()
+
+    async def _receive_body(self) -> None:
+        if self._engine.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            await self.stream.send(self._engine.send(informational) or b"")
+        with anyio.move_on_after(self._limits.idle_timeout):
+            if not await self._receive():
+                raise anyio.BrokenResourceError
+            return
+        raise _BadRequestError(408)
+
+    async def _receive(self) -> bool:
+        try:
+            data = await self.stream.receive()
+        except anyio.EndOfStream:
+            data = b""
+        self._engine.receive_data(data)
+        return bool(data)
+
+    def _next_event(self) -> object:
+        try:
+            return self._engine.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _BadRequestError(error.error_status_hint) from error
+
+    async def _send(self, reply: Reply, must_close: bool) -> None:
+        headers = list(reply.headers)
+        headers.append((b"content-length", str(len(reply.body)).encode()))
+        if must_close:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=reply.status, headers=headers)
+        data = self._engine.send(head) or b""
+        if reply.body:
+            data += self._engine.send(h11.Data(data=reply.body)) or b""
+        data += self._engine.send(h11.EndOfMessage()) or b""
+        with anyio.fail_after(self._limits.idle_timeout):
+            await self.stream.send(data)
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -0,0 +1,352 @@
+"""Keeps what this VM knows of configuration, targets and other VMs up to date.
+
+Configuration: each VM waits on the store by itself, since it seldom changes and then
+must be in force everywhere within seconds. Targets: their entries change all the time,
+so one VM reads them and tells the others; a VM that hears nothing reads for itself.
+Whoever cannot reach the store hears of both from its peers.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import random
+
+import anyio
+
+from zinniastand_core.deployment import configuration, targets
+
+from . import (
+    configuration_exchange,
+    datagrams,
+    forwarder,
+    log_lines,
+    members,
+    peer_link,
+    ports,
+)
+
+READ_PAUSE = 0.4
+"""Seconds between two reads of the targets' entries. A target that is leaving must get
+no new work two seconds after the store has taken that in; reading, telling and one lost
+datagram together take below one."""
+
+SILENCE = 0.95
+"""Seconds without news after which a VM reads for itself: two readings missed."""
+
+SILENCE_STEP = 0.12
+"""Seconds by which each further VM in rank waits longer, so that the next one becomes
+the reader before all the others start to read."""
+
+MOST_STEPS = 5
+"""Ranks that wait longer; beyond them the bound on leaving targets would be at risk."""
+
+REPEAT_FOR = 2.0
+"""Seconds for which changes are told again, since datagrams may be lost."""
+
+CONFIGURATION_WAIT = 12.0
+"""Seconds that one read of the configuration waits at the store. Each costs a call; a
+wait on a connection that has gone silent is noticed only at its end, or by a peer."""
+
+FIRST_PAUSE = 0.2
+"""Seconds before a failed call to the store is made again."""
+
+LONGEST_PAUSE = 1.0
+"""Most seconds between calls to a store that does not answer. Longer pauses would delay
+a new configuration after an outage beyond its bound of two seconds."""
+
+PEER_PAUSE = 0.3
+"""Seconds that a VM waits for the store to tell a version that a peer has already."""
+
+STORE = "store"
+"""Source of what was read from the store, in log lines."""
+
+READER_TASK = "read targets"
+"""Name of the task of reading for all."""
+
+
+class KnowledgeKeeper:
+    """Reads from the store and from peers.
+
+    Parameters
+    ----------
+    store : ports.Store
+        The platform's store.
+    knowledge : forwarder.Knowledge
+        What is kept up to date.
+    fleet : members.Members
+        The VMs.
+    link : peer_link.PeerLink
+        Datagrams to them.
+    log : log_lines.LogLines
+        Changes, and the store lost and regained.
+    on_targets : callable
+        Called after the targets changed.
+    rng : random.Random
+        Spreads calls.
+    """
+
+    def __init__(
+        self,
+        store: ports.Store,
+        knowledge: forwarder.Knowledge,
+        fleet: members.Members,
+        link: peer_link.PeerLink,
+        log: log_lines.LogLines,
+        on_targets: collections.abc.Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._knowledge = knowledge
+        self._fleet = fleet
+        self._link = link
+        self._log = log
+        self._on_targets = on_targets
+        self._rng = rng
+        self._position = -1
+        self._heard_at = 0.0
+        self._recent: collections.deque[tuple[float, targets.Change]] = (
+            collections.deque()
+        )
+        self._reads: collections.deque[tuple[float, int]] = collections.deque()
+        self._lost: set[str] = set()
+        self._wait_scope: anyio.CancelScope | None = None
+        self._peer_versions: dict[str, tuple[int, float]] = {}
+        self.store_calls = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether enough is known to serve requests."""
+        has_configuration = self._knowledge.configured.current is not None
+        return has_configuration and self._position >= 0
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_configuration)
+            group.start_soon(self._follow_targets)
+            group.start_soon(self._follow_peers)
+            group.start_soon(self._enter_fleet)
+
+    def take_news(self, news: datagrams.News) -> None:
+        """Take in what another VM has read."""
+        now = anyio.current_time()
+        if news.version > self._knowledge.configured.version:
+            self._peer_versions.setdefault(news.vm, (news.version, now))
+        if self._position < 0 or news.since > self._position:
+            return  # Something between is missing: read it from the store.
+        if news.position > self._position:
+            self._heard_at = now
+            self._position = news.position
+        self._apply(news.changes, now, news.vm)
+
+    # Configuration
+
+    async def _follow_configuration(self) -> None:
+        position: int | None = None
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                if position is None:
+                    page = await self._store.read_configuration()
+                else:
+                    page = await self._wait_configuration(position)
+            except ports.HistoryLostError:
+                position = None
+                continue
+            except ports.StoreUnavailableError as error:
+                self._note_lost("configuration", str(error))
+                await anyio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(LONGEST_PAUSE, 2 * pause)
+                position = None
+                continue
+            self._note_back("configuration")
+            pause = FIRST_PAUSE
+            position = page.position
+            if page.newest is not None:
+                self._use(page.newest, STORE)
+            elif self._knowledge.configured.current is None:
+                await anyio.sleep(FIRST_PAUSE)
+
+    async def _wait_configuration(self, position: int) -> ports.ConfigurationPage:
+        """Wait for a new configuration.
+
+        A wait that spans an outage may never be answered, on a connection that looks
+        open. `_note_back` ends it, so that the first call that gets through after an
+        outage leads to a fresh read.
+        """
+        with anyio.CancelScope() as self._wait_scope:
+            return await self._store.wait_configuration(position, CONFIGURATION_WAIT)
+        return await self._store.read_configuration()
+
+    def _use(self, candidate: configuration.Configuration, source: str) -> None:
+        if not self._knowledge.configured.offer(candidate):
+            return
+        if source == STORE:
+            self._tell_version()
+        self._knowledge.router.use(candidate)
+        self._log.write(
+            "configuration_in_force",
+            version=candidate.version,
+            routes=len(candidate.routes),
+            source=source,
+        )
+
+    def _tell_version(self) -> None:
+        """Tell the others of a new version, in case their own wait has gone silent."""
+        position = max(0, self._position)
+        version = self._knowledge.configured.version
+        notice = datagrams.News(self._fleet.own.vm, version, position, position, ())
+        self._link.send_many(notice, self._fleet.list_others())
+
+    async def _follow_peers(self) -> None:
+        """Fetch a configuration that peers have and the store does not tell."""
+        while True:
+            await anyio.sleep(PEER_PAUSE)
+            version = self._knowledge.configured.version
+            now = anyio.current_time()
+            self._peer_versions = {
+                vm: (known, at)
+                for vm, (known, at) in self._peer_versions.items()
+                if known > version
+            }
+            for vm, (_, at) in list(self._peer_versions.items())[:1]:
+                member = self._fleet.find(vm)
+                if member is None or now - at < PEER_PAUSE:
+                    continue
+                del self._peer_versions[vm]
+                found = await configuration_exchange.fetch(member.host, member.port)
+                if found is not None:
+                    self._use(found, vm)
+
+    # Targets
+
+    async def _follow_targets(self) -> None:
+        pause = FIRST_PAUSE
+        while True:
+            now = anyio.current_time()
+            if self._position >= 0 and not self._is_reading_due(now):
+                await anyio.sleep(READ_PAUSE / 4)
+                continue
+            try:
+                await self._read_targets()
+            except ports.StoreUnavailableError as error:
+                self._note_lost("targets", str(error))
+                await anyio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(LONGEST_PAUSE, 2 * pause)
+                continue
+            self._note_back("targets")
+            pause = FIRST_PAUSE
+            self._heard_at = anyio.current_time()
+            if self._rank(self._heard_at) == 0:
+                self._tell()
+            await anyio.sleep(READ_PAUSE)
+
+    def _is_reading_due(self, now: float) -> bool:
+        rank = self._rank(now)
+        if rank == 0:
+            return True
+        return now - self._heard_at > SILENCE + SILENCE_STEP * min(rank - 1, MOST_STEPS)
+
+    def _rank(self, now: float) -> int:
+        order = self._fleet.rank(READER_TASK, now, MOST_STEPS + 1)
+        own = self._fleet.own.vm
+        return order.index(own) if own in order else MOST_STEPS + 1
+
+    async def _read_targets(self) -> None:
+        now = anyio.current_time()
+        if self._position >= 0:
+            reader = self._fleet.rank(READER_TASK, now, 1)
+            if reader and reader[0] != self._fleet.own.vm:
+                self._fleet.suspect(reader[0], now)
+            try:
+                page = await self._store.read_target_changes(self._position)
+            except ports.HistoryLostError:
+                self._log.write("target_history_lost", position=self._position)
+            else:
+                self._position = page.position
+                self._apply(page.changes, anyio.current_time(), STORE)
+                return
+        page = await self._store.read_targets()
+        entries = [one for one in page.changes if isinstance(one, targets.Entry)]
+        now = anyio.current_time()
+        news = self._knowledge.registry.replace(entries, page.position, now)
+        self._position = page.position
+        self._note_changes(news, now, STORE)
+
+    def _apply(
+        self,
+        changes: collections.abc.Iterable[targets.Change],
+        now: float,
+        source: str,
+    ) -> None:
+        self._note_changes(self._knowledge.registry.apply(changes, now), now, source)
+
+    def _note_changes(
+        self, news: list[targets.Change], now: float, source: str
+    ) -> None:
+        for change in news:
+            self._recent.append((now, change))
+            phase = "gone" if isinstance(change, targets.Gone) else change.phase.value
+            self._log.write(
+                "target_changed",
+                target=change.target_id,
+                phase=phase,
+                position=change.position,
+                source=source,
+            )
+        if news:
+            self._on_targets()
+
+    def _tell(self) -> None:
+        now = anyio.current_time()
+        self._reads.append((now, self._position))
+        while self._reads[0][0] < now - REPEAT_FOR:
+            self._reads.popleft()
+        while self._recent and self._recent[0][0] < self._reads[0][0]:
+            self._recent.popleft()
+        self._link.send_many(
+            datagrams.News(
+                self._fleet.own.vm,
+                self._knowledge.configured.version,
+                self._position,
+                self._reads[0][1],
+                tuple(change for _, change in self._recent),
+            ),
+            self._fleet.list_others(),
+        )
+
+    # Members
+
+    async def _enter_fleet(self) -> None:
+        pause = FIRST_PAUSE
+        is_entered = False
+        while True:
+            try:
+                if not is_entered:
+                    await self._store.announce(self._fleet.own)
+                    is_entered = True
+                found = await self._store.read_members()
+            except ports.StoreUnavailableError as error:
+                self._note_lost("members", str(error))
+                await anyio.sleep(pause * (0.5 + self._rng.random()))
+                pause = min(LONGEST_PAUSE, 2 * pause)
+                continue
+            self._note_back("members")
+            for member in found:
+                self._fleet.add(member)
+            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
+            self._link.send_many(hello, self._fleet.list_others())
+            return
+
+    def _note_lost(self, part: str, why: str) -> None:
+        if part not in self._lost:
+            self._lost.add(part)
+            self._log.write("store_lost", part=part, why=why[:120])
+
+    def _note_back(self, part: str) -> None:
+        if part in self._lost:
+            self._lost.discard(part)
+            if part == "targets" and self._wait_scope is not None:
+                self._wait_scope.cancel()
+            self._log.write("store_back", part=part)
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -0,0 +1,108 @@
+"""The other VMs, and which of them does what for all.
+
+A task that one VM does for all (dispatching a service, reading the store) belongs to
+the VM that ranks highest for it by rendezvous hashing among those heard from. Views may
+differ for a while; every task can be done twice without harm.
+"""
+
+from __future__ import annotations
+
+from zinniastand_core import rendezvous
+
+from . import ports
+
+SETTLE_TIME = 2.0
+"""Seconds that a VM must have been known before it takes tasks over: by then it has
+heard what the VM before it knew, and a crash loop moves no task to and fro."""
+
+SUSPECT_FOR = 30.0
+"""Seconds for which a VM that gave no answer takes no tasks unless it is heard from. It
+is asked every second meanwhile, so a live one comes back at once."""
+
+
+class Members:
+    """All VMs known to this one.
+
+    Parameters
+    ----------
+    own : ports.Member
+        This VM.
+    now : float
+        Seconds of the steady clock.
+    """
+
+    def __init__(self, own: ports.Member, now: float) -> None:
+        self.own = own
+        self._known: dict[str, ports.Member] = {own.vm: own}
+        self._heard_since: dict[str, float] = {own.vm: now}
+        self._suspect_until: dict[str, float] = {}
+        self._ranks: dict[str, list[str]] = {}
+
+    def add(self, member: ports.Member) -> bool:
+        """Take in an entry; return whether the VM or its incarnation is new."""
+        known = self._known.get(member.vm)
+        if member.vm == self.own.vm:
+            return False
+        if known is not None and known.incarnation >= member.incarnation:
+            return False
+        self._known[member.vm] = member
+        self._heard_since.pop(member.vm, None)
+        self._suspect_until.pop(member.vm, None)
+        self._ranks.clear()
+        return True
+
+    def note_heard(self, vm: str, now: float) -> None:
+        """Take in that a VM was heard from."""
+        if vm in self._known:
+            self._heard_since.setdefault(vm, now)
+            self._suspect_until.pop(vm, None)
+
+    def suspect(self, vm: str, now: float) -> bool:
+        """Take in that a VM gave no answer; return whether that is news."""
+        if vm == self.own.vm or vm not in self._known:
+            return False
+        is_news = self._suspect_until.get(vm, 0.0) <= now
+        self._suspect_until[vm] = now + SUSPECT_FOR
+        return is_news
+
+    def remove(self, vm: str) -> None:
+        """Take in that a VM is leaving."""
+        if vm != self.own.vm and self._known.pop(vm, None) is not None:
+            self._heard_since.pop(vm, None)
+            self._suspect_until.pop(vm, None)
+            self._ranks.clear()
+
+    def find(self, vm: str) -> ports.Member | None:
+        """Return a VM's entry."""
+        return self._known.get(vm)
+
+    def list_others(self) -> list[ports.Member]:
+        """Return all other VMs, suspects included."""
+        return [one for one in self._known.values() if one.vm != self.own.vm]
+
+    def list_suspects(self, now: float) -> list[ports.Member]:
+        """Return the VMs that gave no answer, and those never heard from."""
+        return [
+            one
+            for one in self.list_others()
+            if self._suspect_until.get(one.vm, 0.0) > now
+            or one.vm not in self._heard_since
+        ]
+
+    def rank_heard(self, task: str, now: float) -> list[str]:
+        """Return all VMs heard from, those that rank highest for a task first."""
+        order = self._ranks.get(task)
+        if order is None:
+            order = rendezvous.pick(task, self._known, len(self._known))
+            self._ranks[task] = order
+        return [vm for vm in order if self._is_heard(vm, now)]
+
+    def rank(self, task: str, now: float, count: int) -> list[str]:
+        """Return the VMs that should do a task, best first."""
+        heard = self.rank_heard(task, now)
+        settled = [vm for vm in heard if now - self._heard_since[vm] >= SETTLE_TIME]
+        # At the first start nobody has been there for long.
+        return (settled or heard)[:count]
+
+    def _is_heard(self, vm: str, now: float) -> bool:
+        return vm in self._heard_since and self._suspect_until.get(vm, 0.0) <= now
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -0,0 +1,200 @@
+"""Gets a request its target: from the service's dispatcher, or here if none answers.
+
+Whoever holds a request asks the highest-ranking VM, then the next, then decides by
+itself. An ask is named by its ticket and may be sent again at any time. A dispatcher
+answers at once, if only that the request waits, so that a dead one is told from a busy
+one within milliseconds.
+"""
+
+from __future__ import annotations
+
+import anyio
+
+from zinniastand_core.dispatch import messages
+
+from . import datagrams, desk, log_lines, members, peer_link
+
+ANSWER_TIMES = (0.03, 0.06)
+"""Seconds to wait for the answer to the first and second sending of an ask. A round
+trip takes one to two milliseconds, on a busy VM up to ten times as long."""
+
+WAIT_CHECK = 0.2
+"""Seconds between two sendings of an ask that waits: shows that somebody lives."""
+
+CANDIDATES = 2
+"""VMs that are asked before a VM decides by itself."""
+
+Answer = messages.Grant | messages.Refuse
+
+
+class _Pending:
+    """An ask without its final answer."""
+
+    def __init__(self) -> None:
+        self.answer: Answer | None = None
+        self.is_heard = False
+        self.changed = anyio.Event()
+
+    def take(self, decision: messages.Decision) -> None:
+        """Take in a decision."""
+        self.is_heard = True
+        if not isinstance(decision, messages.Wait) and self.answer is None:
+            self.answer = decision
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class Placement:
+    """Asks for targets and reports how attempts went.
+
+    Parameters
+    ----------
+    fleet : members.Members
+        The VMs.
+    link : peer_link.PeerLink
+        Datagrams to them.
+    log : log_lines.LogLines
+        Where lost and regained dispatchers are noted.
+    """
+
+    def __init__(
+        self,
+        fleet: members.Members,
+        link: peer_link.PeerLink,
+        log: log_lines.LogLines,
+    ) -> None:
+        self._fleet = fleet
+        self._link = link
+        self._log = log
+        self._desk: desk.Desk | None = None
+        self._pending: dict[str, _Pending] = {}
+        self._held: dict[str, messages.Held] = {}
+        self._granters: dict[str, str] = {}
+        self._dispatcher_of: dict[str, str] = {}
+
+    def use_desk(self, own: desk.Desk) -> None:
+        """Decide by these dispatchers where no other VM answers."""
+        self._desk = own
+
+    async def acquire(self, ask: messages.Ask) -> Answer:
+        """Return a target, or why there is none."""
+        pending = self._pending[ask.ticket] = _Pending()
+        asked = self._fleet.own.vm
+        answer: Answer | None = None
+        try:
+            for vm in self._list_candidates(ask.service):
+                asked = vm
+                answer = await self._ask(vm, ask, pending)
+                if answer is not None:
+                    return self._take(ask, vm, answer)
+                self._note_silent(vm, ask)
+            asked = self._fleet.own.vm
+            answer = await self._ask(asked, ask, pending)
+            return self._take(ask, asked, answer or _refuse_late(ask))
+        finally:
+            del self._pending[ask.ticket]
+            if answer is None:
+                self._withdraw(asked, ask)
+
+    def report(self, report: messages.Report) -> None:
+        """Tell whoever granted the slot how the attempt went."""
+        self._held.pop(report.ticket, None)
+        self._tell(self._granters.pop(report.ticket, self._fleet.own.vm), report)
+
+    def take_decision(self, decision: messages.Decision) -> None:
+        """Take in the answer to an ask."""
+        pending = self._pending.get(decision.ticket)
+        if pending is not None:
+            pending.take(decision)
+
+    def _list_candidates(self, service: str) -> list[str]:
+        now = anyio.current_time()
+        ranked = self._fleet.rank(service, now, CANDIDATES)
+        own = self._fleet.own.vm
+        if own in ranked:
+            ranked = ranked[: ranked.index(own)]
+        return ranked
+
+    async def _ask(
+        self, vm: str, ask: messages.Ask, pending: _Pending
+    ) -> Answer | None:
+        """Return one VM's answer, or None where it gives none."""
+        self._hand_over(ask.service, vm)
+        pending.is_heard = False
+        misses = 0
+        while misses < len(ANSWER_TIMES):
+            now = anyio.current_time()
+            if now >= ask.deadline_at:
+                return pending.answer
+            self._send_ask(vm, ask, now)
+            pause = WAIT_CHECK if pending.is_heard else ANSWER_TIMES[misses]
+            pending.is_heard = False
+            await self._wait(pending, min(now + pause, ask.deadline_at))
+            if pending.answer is not None:
+                return pending.answer
+            misses = 0 if pending.is_heard else misses + 1
+        return None
+
+    async def _wait(self, pending: _Pending, until: float) -> None:
+        """Wait for the final answer, or until the time for the first word of one."""
+        with anyio.CancelScope(deadline=until):
+            while pending.answer is None:
+                await pending.changed.wait()
+
+    def _send_ask(self, vm: str, ask: messages.Ask, now: float) -> None:
+        own = self._fleet.own.vm
+        if vm == own and self._desk is not None:
+            self._desk.ask(own, ask, now)
+            return
+        member = self._fleet.find(vm)
+        if member is not None:
+            self._link.send(datagrams.Asked(own, ask), member)
+
+    def _hand_over(self, service: str, vm: str) -> None:
+        """Tell a VM that dispatches from now on which slots are in use here."""
+        if self._dispatcher_of.get(service) == vm:
+            return
+        self._dispatcher_of[service] = vm
+        for held in self._held.values():
+            if held.ask.service == service:
+                self._granters[held.ask.ticket] = vm
+                self._tell(vm, datagrams.Adopted(self._fleet.own.vm, held))
+
+    def _take(self, ask: messages.Ask, vm: str, answer: Answer) -> Answer:
+        if isinstance(answer, messages.Grant):
+            self._granters[ask.ticket] = vm
+            self._held[ask.ticket] = messages.Held(ask, answer.target_id)
+        return answer
+
+    def _withdraw(self, vm: str, ask: messages.Ask) -> None:
+        """Give back what an ask may get after nobody waits for it any more."""
+        report = messages.Report(
+            ask.ticket,
+            ask.service,
+            "",
+            messages.Outcome.ABANDONED,
+            0.0,
+            self._fleet.own.vm,
+        )
+        self._tell(vm, report)
+
+    def _tell(self, vm: str, message: messages.Report | datagrams.Adopted) -> None:
+        own = self._fleet.own.vm
+        member = self._fleet.find(vm)
+        if vm != own and member is not None:
+            self._link.send(message, member)
+        elif vm == own and self._desk is not None:
+            now = anyio.current_time()
+            if isinstance(message, messages.Report):
+                self._desk.report(message, now)
+            else:
+                self._desk.adopt(own, message.held, now)
+
+    def _note_silent(self, vm: str, ask: messages.Ask) -> None:
+        self._withdraw(vm, ask)
+        if self._fleet.suspect(vm, anyio.current_time()):
+            self._log.write("dispatcher_lost", peer=vm, service=ask.service)
+
+
+def _refuse_late(ask: messages.Ask) -> messages.Refuse:
+    return messages.Refuse(ask.ticket, messages.RefusalReason.TOO_LATE, ask.deadline_at)
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -0,0 +1,259 @@
+"""Sends requests to targets and judges whether what comes back is their answer."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import select
+import socket
+
+import anyio
+import anyio.abc
+
+from zinniastand_core import services
+from zinniastand_core.deployment import targets
+from zinniastand_core.forwarding import plan
+
+from . import http_exchange, vocabulary
+
+CONNECT_TIMEOUT = 0.15
+"""Seconds for a new connection. One takes about a millisecond; a lost first packet is
+sent again only after a second, so waiting longer gains nothing over another target."""
+
+PROVED_FOR = 0.8
+"""Seconds after an answer for which a connection may carry work that may run only once.
+A connection can go silent for good, or be dropped by the target while idle; such work
+would then be lost without anybody knowing. A new connection costs a millisecond."""
+
+IDLE_FOR = 4.0
+"""Seconds after an answer for which a connection may carry idempotent work. Targets
+close idle ones after about ten."""
+
+IDLE_CLOSE_MARGIN = 1.0
+"""Seconds by which a connection is given up before the target says it closes it."""
+
+MOST_IDLE = 3
+"""Idle connections kept per target: as many as it has slots in the usual deployment."""
+
+USER_TIMEOUT_MS = 3_000
+"""Milliseconds after which the kernel gives up a connection whose data nobody
+acknowledges (TCP_USER_TIMEOUT), so that a silent one frees its socket."""
+
+MOST_FOREIGN = 3
+"""Answers to other requests that are read past before a connection is given up."""
+
+LEAST_SERVER_ERROR = 500
+SUCCESS = range(200, 300)
+MISPLACED_STATUS = 421
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers are told that their request has not run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """How one attempt ended."""
+
+    result: plan.Result
+    """What it means for the request."""
+
+    answer: http_exchange.Answer | None
+    """The target's whole answer, where there is one."""
+
+    detail: str
+    """What happened, for the log."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Connection:
+    """A connection to a target, and until when it may be used."""
+
+    stream: anyio.abc.ByteStream
+    proved_until: float = 0.0
+    idle_until: float = 0.0
+    is_new: bool = True
+
+
+class TargetClient:
+    """Connections to all targets.
+
+    Parameters
+    ----------
+    words : vocabulary.Vocabulary
+        Headers of the platform.
+    """
+
+    def __init__(self, words: vocabulary.Vocabulary) -> None:
+        self._words = words
+        self._idle: dict[str, collections.deque[_Connection]] = {}
+        self.opened = 0
+
+    async def attempt(
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
+        mark_sent: collections.abc.Callable[[], None],
+    ) -> Attempt:
+        """Send a request to one target and return how it ended.
+
+        Parameters
+        ----------
+        target : targets.Entry
+            The target.
+        request : http_exchange.Request
+            The request, as it shall arrive.
+        work : services.Work
+            Whether it may run more than once.
+        mark_sent : callable
+            Called just before the first byte is handed to a connection.
+        """
+        connection = await self._take(target, work)
+        if connection is None:
+            return Attempt(plan.Result.UNREACHABLE, None, "no connection")
+        was_pooled = not connection.is_new
+        mark_sent()
+        attempt = await self._exchange(target, connection, request)
+        if (
+            was_pooled
+            and attempt.result is plan.Result.BROKEN
+            and work is services.Work.IDEMPOTENT
+        ):
+            # An idle connection may be gone without the target being at fault.
+            connection = await self._connect(target)
+            if connection is not None:
+                return await self._exchange(target, connection, request)
+        return attempt
+
+    async def close_idle(self, now: float) -> None:
+        """Close connections that nothing may use any more."""
+        for target_id, idle in list(self._idle.items()):
+            while idle and idle[0].idle_until <= now:
+                await _close(idle.popleft())
+            if not idle:
+                del self._idle[target_id]
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        await self.close_idle(float("inf"))
+
+    async def _exchange(
+        self,
+        target: targets.Entry,
+        connection: _Connection,
+        request: http_exchange.Request,
+    ) -> Attempt:
+        exchange = http_exchange.Exchange(connection.stream, request)
+        wanted = http_exchange.find_header(request.headers, self._words.request_id)
+        is_kept = False
+        try:
+            answer = await exchange.run()
+            for _ in range(MOST_FOREIGN):
+                echo = answer.find(self._words.request_id)
+                if echo is None or echo == wanted or not answer.trailing:
+                    break
+                answer = await exchange.read_next(answer.trailing)
+            attempt = self._judge(answer, wanted)
+            if attempt.result is plan.Result.BROKEN or not answer.is_reusable:
+                return attempt
+            is_kept = self._keep(target, connection, answer)
+            return attempt
+        except http_exchange.BrokenAnswerError as error:
+            return Attempt(plan.Result.BROKEN, None, str(error))
+        finally:
+            if not is_kept:
+                await _close(connection)
+
+    def _judge(self, answer: http_exchange.Answer, wanted: bytes | None) -> Attempt:
+        """Tell a target's whole answer to this request from anything else."""
+        echo = answer.find(self._words.request_id)
+        if echo is not None and echo != wanted:
+            return Attempt(plan.Result.BROKEN, None, "an answer to another request")
+        status = answer.status
+        if answer.find(self._words.not_run) is not None or status == MISPLACED_STATUS:
+            if status == MISPLACED_STATUS:
+                return Attempt(plan.Result.MISPLACED, None, "another target's address")
+            return Attempt(plan.Result.TURNED_AWAY, None, f"turned away with {status}")
+        if answer.find(b"content-encoding") is not None:
+            return Attempt(plan.Result.BROKEN, None, "an encoded body")
+        if status in SUCCESS:
+            if echo is None or answer.find(self._words.signature) is None:
+                return Attempt(plan.Result.BROKEN, None, "a success without signature")
+            return Attempt(plan.Result.ANSWERED, answer, str(status))
+        if status in PROMISING_STATUSES:
+            # Passed on, these would promise the caller that the work has not run,
+            # and nothing in the target's answer says so.
+            return Attempt(plan.Result.BROKEN, None, f"{status} without proof")
+        if status >= LEAST_SERVER_ERROR:
+            return Attempt(plan.Result.ERROR, answer, str(status))
+        return Attempt(plan.Result.ANSWERED, answer, str(status))
+
+    def _keep(
+        self,
+        target: targets.Entry,
+        connection: _Connection,
+        answer: http_exchange.Answer,
+    ) -> bool:
+        idle = self._idle.setdefault(target.target_id, collections.deque())
+        if len(idle) >= MOST_IDLE:
+            return False
+        now = anyio.current_time()
+        connection.is_new = False
+        connection.proved_until = now + PROVED_FOR
+        connection.idle_until = now + min(IDLE_FOR, _find_idle_limit(answer))
+        idle.append(connection)
+        return True
+
+    async def _take(
+        self, target: targets.Entry, work: services.Work
+    ) -> _Connection | None:
+        now = anyio.current_time()
+        idle = self._idle.get(target.target_id)
+        while idle:
+            connection = idle.pop()
+            usable_until = (
+                connection.idle_until
+                if work is services.Work.IDEMPOTENT
+                else min(connection.proved_until, connection.idle_until)
+            )
+            if usable_until > now and not _has_input(connection.stream):
+                return connection
+            await _close(connection)
+        return await self._connect(target)
+
+    async def _connect(self, target: targets.Entry) -> _Connection | None:
+        self.opened += 1
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT):
+                stream = await anyio.connect_tcp(target.host, target.port)
+        except (OSError, TimeoutError):
+            return None
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        return _Connection(stream)
+
+
+def _find_idle_limit(answer: http_exchange.Answer) -> float:
+    """Return for how long the target keeps the connection open while idle."""
+    value = answer.find(b"keep-alive") or b""
+    for item in value.split(b","):
+        name, _, seconds = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.isdigit():
+            return max(0.0, int(seconds) - IDLE_CLOSE_MARGIN)
+    return IDLE_FOR
+
+
+def _has_input(stream: anyio.abc.ByteStream) -> bool:
+    """Return whether bytes or an end wait on an idle connection.
+
+    Bytes there belong to no request, and would be taken for the next answer.
+    """
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def _close(connection: _Connection) -> None:
+    with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(connection.stream)
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/vocabulary.py
@@ -0,0 +1,25 @@
+"""The headers by which a platform's callers and targets say what they mean."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vocabulary:
+    """Header names, in lower case."""
+
+    request_id: bytes
+    """Names one attempt of a caller; a target's answer repeats it."""
+
+    time_left: bytes
+    """Milliseconds that the sender still waits, as whole digits."""
+
+    expected_target: bytes
+    """Names the one target that may run the request."""
+
+    signature: bytes
+    """A target's signature of its answer; on every success."""
+
+    not_run: bytes
+    """On a target's answer: it did not run the request."""
