--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -42,6 +42,9 @@
 RETURN_PAUSE = 0.25
 """Least seconds that a refused caller is asked to stay away."""
 
+LEAST_MEAN = 0.001
+"""Least seconds that a kind of work is taken to last, as a divisor."""
+
 SLOW_AFTER = 2.5
 """Times the expected time after which work under way tells that its target is slow."""
 
@@ -123,7 +126,8 @@
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
         waiting = _Waiting(ask.priority, now, ask.ticket, ask)
-        if self._find_wait(waiting, now) > self._find_patience(ask, now):
+        wait = self._find_wait(waiting, now)
+        if wait > 0 and wait > self._find_patience(ask, now):
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
         bisect.insort(self._queue, waiting)
         decisions = self._serve_queue(now)
@@ -187,7 +191,7 @@
         state = self.pool.find(offer.target_id)
         if state is None:
             return None
-        if ask.is_idempotent and offer.doubt > 0:
+        if ask.may_retry and offer.doubt > 0:
             state.note_trial(now)
         granted = self._start(ask, state, now)
         return messages.Grant(
@@ -201,13 +205,13 @@
         proven targets are busy, their next free slot is a fraction of the time of one
         piece of work away.
         """
-        if ask.is_idempotent or offer.doubt <= DOUBT_LIMIT:
+        if ask.may_retry or offer.doubt <= DOUBT_LIMIT:
             return False
         proved = self.pool.count_proved_slots(DOUBT_LIMIT, now)
         if not proved:
             return False
         mean = self._kinds.find_mean(ask.kind)
-        wait = mean * (1 + len(self._queue)) / proved
+        wait = mean * max(1, len(self._queue)) / proved
         return now + wait + mean < ask.objective_at
 
     def _start(self, ask: messages.Ask, state: pool.TargetState, now: float) -> _Grant:
@@ -228,9 +232,7 @@
             case messages.Outcome.GOOD:
                 state.belief.take(failed=False, now=now)
                 if granted is not None:
-                    mean = self._kinds.find_mean(granted.ask.kind)
-                    state.slowness.add(report.took / max(mean, 1e-3), now)
-                    self._kinds.add(granted.ask.kind, report.took)
+                    self._learn_time(state, granted.ask.kind, report.took, now)
             case messages.Outcome.FAILED | messages.Outcome.SILENT:
                 state.belief.take(failed=True, now=now)
             case messages.Outcome.SHED:
@@ -242,6 +244,14 @@
             case messages.Outcome.ABANDONED:
                 pass
 
+    def _learn_time(
+        self, state: pool.TargetState, kind: str, took: float, now: float
+    ) -> None:
+        """Learn how long a kind of work takes apart from how slow its target is."""
+        slowness = state.find_slowness(now)
+        state.slowness.add(took / max(self._kinds.find_mean(kind), LEAST_MEAN), now)
+        self._kinds.add(kind, took / max(1.0, slowness))
+
     def _find_wait(self, waiting: _Waiting, now: float) -> float:
         """Return how long a request would wait for its turn."""
         capacity = self.pool.find_capacity(now)
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -19,8 +19,9 @@
     kind: str
     """Name under which times of work are learned; requests of a kind are alike."""
 
-    is_idempotent: bool
-    """Whether a failed attempt may be followed by another."""
+    may_retry: bool
+    """Whether a failed attempt may be followed by another: the work is idempotent, and
+    it has attempts left."""
 
     priority: int
     """Rank among the requests of the service; 0 goes first."""
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -31,8 +31,8 @@
 LOAD_PRICE = 0.04
 """Price of a full target against an idle one: targets slow down when nearly full."""
 
-DISTANCE_PRICE = 0.002
-"""Price of another data centre: breaks ties only."""
+DISTANCE_PRICE = 0.01
+"""Price of another data centre: a few kilobytes between them and half a millisecond."""
 
 TRIAL_GAIN = 0.35
 """Worth of learning, by idempotent work, about a target in full doubt."""
@@ -227,7 +227,7 @@
         price += LOAD_PRICE * load * load
         if state.entry.data_centre != ask.data_centre:
             price += DISTANCE_PRICE
-        if not (ask.is_idempotent and may_retry):
+        if not (ask.may_retry and may_retry):
             return Offer(state.entry.target_id, price + doubt, doubt)
         price += RETRY_PRICE * doubt
         if ask.attempt == 1 and state.may_try(now):
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
@@ -8,7 +8,11 @@
 """Seconds that a kind of work is taken to last until one was seen."""
 
 KIND_WEIGHT = 0.05
-"""Weight of a new sample in a kind's mean: the last twenty or so count."""
+"""Least weight of a new sample in a kind's mean: the last twenty or so count."""
+
+GUESS_WEIGHT = 3
+"""Samples that the first guess counts for, so that one long piece of work at the start
+is not taken for the usual."""
 
 SPEED_WEIGHT = 0.2
 """Weight of a new sample in a target's slowness: four slow answers in a row show."""
@@ -26,6 +30,7 @@
 
     def __init__(self) -> None:
         self._means: dict[str, float] = {}
+        self._samples: dict[str, int] = {}
 
     def find_mean(self, kind: str) -> float:
         """Return the mean time in seconds."""
@@ -39,14 +44,15 @@
     def set(self, kind: str, seconds: float) -> None:
         """Take over a mean that another VM has learned."""
         self._means[kind] = seconds
+        self._samples[kind] = round(1 / KIND_WEIGHT)
 
     def add(self, kind: str, seconds: float) -> None:
         """Take in how long one piece of work took."""
-        known = self._means.get(kind)
-        if known is None:
-            self._means[kind] = seconds
-        else:
-            self._means[kind] = known + KIND_WEIGHT * (seconds - known)
+        known = self.find_mean(kind)
+        samples = self._samples.get(kind, GUESS_WEIGHT) + 1
+        self._samples[kind] = samples
+        weight = max(KIND_WEIGHT, 1 / samples)
+        self._means[kind] = known + weight * (seconds - known)
 
 
 class Slowness:
--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -118,6 +118,11 @@
         """Targets that it must not go to again."""
         return tuple(self._excluded)
 
+    @property
+    def may_retry_next(self) -> bool:
+        """Whether the next attempt may be followed by another if it fails."""
+        return self.is_idempotent and self._sent + 1 < self._route.max_attempts
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the work may run more than once."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -57,6 +57,17 @@
     """Changes of targets from there on."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionNotice:
+    """A VM has a new configuration."""
+
+    vm: str
+    """The VM."""
+
+    version: int
+    """Its version."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opinion:
     """What a dispatcher thinks of one target."""
@@ -111,6 +122,7 @@
     Hello
     | Leaving
     | News
+    | VersionNotice
     | Opinions
     | Asked
     | Adopted
@@ -160,6 +172,8 @@
             changes = [_pack_change(one, now) for one in message.changes]
             head = [message.vm, message.version, message.position, message.since]
             return ["n", *head, changes]
+        case VersionNotice():
+            return ["v", message.vm, message.version]
         case Opinions():
             items = [list(dataclasses.astuple(one)) for one in message.items]
             return ["o", message.service, items, [list(one) for one in message.times]]
@@ -189,6 +203,8 @@
         case "n":
             changes = tuple(_unpack_change(one, now) for one in rest[4])
             return News(rest[0], rest[1], rest[2], rest[3], changes)
+        case "v":
+            return VersionNotice(rest[0], rest[1])
         case "o":
             items = tuple(Opinion(*one) for one in rest[1])
             return Opinions(rest[0], items, tuple((name, s) for name, s in rest[2]))
@@ -219,7 +235,7 @@
         ask.ticket,
         ask.service,
         ask.kind,
-        ask.is_idempotent,
+        ask.may_retry,
         ask.priority,
         ask.objective_at - now,
         ask.deadline_at - now,
@@ -230,13 +246,13 @@
 
 
 def _unpack_ask(fields: list, now: float) -> messages.Ask:
-    ticket, service, kind, is_idempotent, priority, objective, deadline = fields[:7]
+    ticket, service, kind, may_retry, priority, objective, deadline = fields[:7]
     attempt, data_centre, excluded = fields[7:]
     return messages.Ask(
         ticket,
         service,
         kind,
-        is_idempotent,
+        may_retry,
         priority,
         now + objective,
         now + deadline,
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -100,6 +100,18 @@
         """Begin a graceful stop."""
         self._stop_wanted.set()
 
+    def kill(self) -> None:
+        """End at once, without a word to anybody; for tests of failures."""
+        self._scope.cancel()
+
+    def use_configuration(self, current: configuration.Configuration) -> None:
+        """Take a configuration from elsewhere than the store, if it is newer."""
+        self._keeper.use(current, "operator")
+
+    def find_dispatcher(self, service: str) -> str:
+        """Return the VM that this one asks first for targets of a service."""
+        return self._fleet.rank(service, anyio.current_time(), 1)[0]
+
     def reload(self) -> None:
         """Note that the settings changed.
 
@@ -116,6 +128,7 @@
         settings = self._settings
         self._log.write("started", incarnation=self._fleet.own.incarnation)
         async with anyio.create_task_group() as group:
+            self._scope = group.cancel_scope
             peers = settings.peers
             group.start_soon(self._link.run, self._receive)
             group.start_soon(
@@ -236,6 +249,8 @@
             case datagrams.News():
                 self._fleet.note_heard(message.vm, now)
                 self._keeper.take_news(message)
+            case datagrams.VersionNotice():
+                self._keeper.take_version(message.vm, message.version)
             case datagrams.Opinions():
                 self._take_opinions(message, now)
             case datagrams.Asked():
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -284,9 +284,7 @@
         work = self._route.work
         overdue = max(LEAST_OVERDUE, OVERDUE_FACTOR * grant.expected)
         may_be_overdue = (
-            self._plan.is_idempotent
-            and self._plan.sent + 1 < self._route.max_attempts
-            and left - overdue > OVERDUE_LEFT * grant.expected
+            self._plan.may_retry_next and left - overdue > OVERDUE_LEFT * grant.expected
         )
         with anyio.move_on_after(overdue if may_be_overdue else None):
             return await self._tools.client.attempt(
@@ -302,7 +300,7 @@
             ticket=forwarder.make_ticket(),
             service=self._service,
             kind=self._route.name,
-            is_idempotent=self._plan.is_idempotent,
+            may_retry=self._plan.may_retry_next,
             priority=self._route.priority,
             objective_at=times.objective_at,
             deadline_at=times.deadline_at,
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -26,13 +26,27 @@
     ports,
 )
 
-READ_PAUSE = 0.4
-"""Seconds between two reads of the targets' entries. A target that is leaving must get
-no new work two seconds after the store has taken that in; reading, telling and one lost
-datagram together take below one."""
+READ_WAIT = 0.8
+"""Seconds that a read of the targets' entries waits at the store for a change. A target
+that is leaving must get no new work two seconds after the store has taken that in. A
+longer wait would save calls, and notice a silent connection too late."""
+
+READ_PAUSE = 0.25
+"""Least seconds between two reads of the targets' entries, however often they change:
+bounds the calls where targets write with every heartbeat."""
+
+TELL_PAUSE = 0.4
+"""Seconds between two tellings of what was read; a lost one is made up for so soon."""
+
+CHECK_PAUSE = 0.1
+"""Seconds between two looks whether it is this VM's turn to read."""
+
+STALE_AFTER = 1.9
+"""Seconds after its last successful read for which the reader tells others that nothing
+has changed: one wait, and a call that was lost."""
 
 SILENCE = 0.95
-"""Seconds without news after which a VM reads for itself: two readings missed."""
+"""Seconds without news after which a VM reads for itself: two tellings missed."""
 
 SILENCE_STEP = 0.12
 """Seconds by which each further VM in rank waits longer, so that the next one becomes
@@ -44,7 +58,7 @@
 REPEAT_FOR = 2.0
 """Seconds for which changes are told again, since datagrams may be lost."""
 
-CONFIGURATION_WAIT = 12.0
+CONFIGURATION_WAIT = 25.0
 """Seconds that one read of the configuration waits at the store. Each costs a call; a
 wait on a connection that has gone silent is noticed only at its end, or by a peer."""
 
@@ -105,6 +119,7 @@
         self._rng = rng
         self._position = -1
         self._heard_at = 0.0
+        self._read_at = 0.0
         self._recent: collections.deque[tuple[float, targets.Change]] = (
             collections.deque()
         )
@@ -125,21 +140,25 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow_configuration)
             group.start_soon(self._follow_targets)
+            group.start_soon(self._tell_regularly)
             group.start_soon(self._follow_peers)
             group.start_soon(self._enter_fleet)
 
     def take_news(self, news: datagrams.News) -> None:
         """Take in what another VM has read."""
         now = anyio.current_time()
-        if news.version > self._knowledge.configured.version:
-            self._peer_versions.setdefault(news.vm, (news.version, now))
+        self.take_version(news.vm, news.version)
         if self._position < 0 or news.since > self._position:
             return  # Something between is missing: read it from the store.
-        if news.position > self._position:
-            self._heard_at = now
-            self._position = news.position
+        self._heard_at = now
+        self._position = max(self._position, news.position)
         self._apply(news.changes, now, news.vm)
 
+    def take_version(self, vm: str, version: int) -> None:
+        """Take in which version another VM has."""
+        if version > self._knowledge.configured.version:
+            self._peer_versions.setdefault(vm, (version, anyio.current_time()))
+
     # Configuration
 
     async def _follow_configuration(self) -> None:
@@ -164,7 +183,7 @@
             pause = FIRST_PAUSE
             position = page.position
             if page.newest is not None:
-                self._use(page.newest, STORE)
+                self.use(page.newest, STORE)
             elif self._knowledge.configured.current is None:
                 await anyio.sleep(FIRST_PAUSE)
 
@@ -179,11 +198,11 @@
             return await self._store.wait_configuration(position, CONFIGURATION_WAIT)
         return await self._store.read_configuration()
 
-    def _use(self, candidate: configuration.Configuration, source: str) -> None:
+    def use(self, candidate: configuration.Configuration, source: str) -> None:
+        """Take a configuration, if it is newer than the one in force."""
         if not self._knowledge.configured.offer(candidate):
             return
-        if source == STORE:
-            self._tell_version()
+        self._tell_version()
         self._knowledge.router.use(candidate)
         self._log.write(
             "configuration_in_force",
@@ -194,9 +213,8 @@
 
     def _tell_version(self) -> None:
         """Tell the others of a new version, in case their own wait has gone silent."""
-        position = max(0, self._position)
         version = self._knowledge.configured.version
-        notice = datagrams.News(self._fleet.own.vm, version, position, position, ())
+        notice = datagrams.VersionNotice(self._fleet.own.vm, version)
         self._link.send_many(notice, self._fleet.list_others())
 
     async def _follow_peers(self) -> None:
@@ -217,7 +235,7 @@
                 del self._peer_versions[vm]
                 found = await configuration_exchange.fetch(member.host, member.port)
                 if found is not None:
-                    self._use(found, vm)
+                    self.use(found, vm)
 
     # Targets
 
@@ -226,10 +244,10 @@
         while True:
             now = anyio.current_time()
             if self._position >= 0 and not self._is_reading_due(now):
-                await anyio.sleep(READ_PAUSE / 4)
+                await anyio.sleep(CHECK_PAUSE)
                 continue
             try:
-                await self._read_targets()
+                has_news = await self._read_targets()
             except ports.StoreUnavailableError as error:
                 self._note_lost("targets", str(error))
                 await anyio.sleep(pause * (0.5 + self._rng.random()))
@@ -237,11 +255,23 @@
                 continue
             self._note_back("targets")
             pause = FIRST_PAUSE
-            self._heard_at = anyio.current_time()
-            if self._rank(self._heard_at) == 0:
+            self._heard_at = self._read_at = anyio.current_time()
+            if has_news:
                 self._tell()
             await anyio.sleep(READ_PAUSE)
 
+    async def _tell_regularly(self) -> None:
+        """Tell the others what was read, also that nothing has changed.
+
+        Whoever hears nothing reads for itself; whoever is told "nothing new" by a
+        reader that has lost the store would miss a target's leaving.
+        """
+        while True:
+            await anyio.sleep(TELL_PAUSE)
+            now = anyio.current_time()
+            if self._rank(now) == 0 and now - self._read_at < STALE_AFTER:
+                self._tell()
+
     def _is_reading_due(self, now: float) -> bool:
         rank = self._rank(now)
         if rank == 0:
@@ -253,34 +283,38 @@
         own = self._fleet.own.vm
         return order.index(own) if own in order else MOST_STEPS + 1
 
-    async def _read_targets(self) -> None:
+    async def _read_targets(self) -> bool:
+        """Read from the store; return whether anything has changed."""
         now = anyio.current_time()
         if self._position >= 0:
             reader = self._fleet.rank(READER_TASK, now, 1)
             if reader and reader[0] != self._fleet.own.vm:
                 self._fleet.suspect(reader[0], now)
             try:
-                page = await self._store.read_target_changes(self._position)
+                wait = READ_WAIT if self._rank(now) == 0 else 0.0
+                page = await self._store.read_target_changes(self._position, wait)
             except ports.HistoryLostError:
                 self._log.write("target_history_lost", position=self._position)
             else:
                 self._position = page.position
-                self._apply(page.changes, anyio.current_time(), STORE)
-                return
+                return self._apply(page.changes, anyio.current_time(), STORE)
         page = await self._store.read_targets()
         entries = [one for one in page.changes if isinstance(one, targets.Entry)]
         now = anyio.current_time()
         news = self._knowledge.registry.replace(entries, page.position, now)
         self._position = page.position
         self._note_changes(news, now, STORE)
+        return bool(news)
 
     def _apply(
         self,
         changes: collections.abc.Iterable[targets.Change],
         now: float,
         source: str,
-    ) -> None:
-        self._note_changes(self._knowledge.registry.apply(changes, now), now, source)
+    ) -> bool:
+        news = self._knowledge.registry.apply(changes, now)
+        self._note_changes(news, now, source)
+        return bool(news)
 
     def _note_changes(
         self, news: list[targets.Change], now: float, source: str
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -77,8 +77,8 @@
         """Return all targets."""
         ...
 
-    async def read_target_changes(self, position: int) -> TargetPage:
-        """Return what changed from `position`."""
+    async def read_target_changes(self, position: int, wait: float) -> TargetPage:
+        """Return what changed from `position`, waiting up to `wait` seconds."""
         ...
 
 
--- /dev/null
+++ b/packages/zinniastand-standins/src/zinniastand_standins/topic_store_app.py
@@ -0,0 +1,122 @@
+"""HTTP interface of the topic store stand-in."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import urllib.parse
+
+import anyio
+
+from zinniastand_proxy.edge import http_server
+
+from . import topic_store
+
+POLL_PAUSE = 0.01
+"""Seconds between two looks for new records by a call that waits."""
+
+PAGE = 500
+"""Keys on one page."""
+
+LENGTH = struct.Struct(">I")
+HEAD = struct.Struct(">QQ")
+MILLISECONDS = 1000.0
+FOREVER = 3600.0
+
+
+class TopicStoreApp:
+    """Serves a store to one caller after another.
+
+    Parameters
+    ----------
+    store : topic_store.TopicStore
+        The state.
+    """
+
+    def __init__(self, store: topic_store.TopicStore) -> None:
+        self._store = store
+
+    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
+        """Answer one call, or fail as the store's fault says."""
+        self._store.calls += 1
+        path, _, text = incoming.request.path.decode().partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        if self._store.delay:
+            await anyio.sleep(self._store.delay)
+        match self._store.fault:
+            case topic_store.Fault.BUSY:
+                return http_server.Reply(503, [], b"")
+            case topic_store.Fault.SILENT:
+                await anyio.sleep(FOREVER)
+            case topic_store.Fault.RESET:
+                raise anyio.BrokenResourceError
+            case topic_store.Fault.LOST:
+                await self._answer(path, query, incoming.request.body)
+                await anyio.sleep(FOREVER)
+            case topic_store.Fault.NONE:
+                pass
+        return await self._answer(path, query, incoming.request.body)
+
+    async def _answer(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> http_server.Reply:
+        match path:
+            case "/-/log-append":
+                return self._append(query, body)
+            case "/-/log-read":
+                return await self._read(query)
+            case "/-/log-newest":
+                return self._list_newest(query)
+            case _:
+                return http_server.Reply(404, [], b"")
+
+    def _append(self, query: dict[str, str], body: bytes) -> http_server.Reply:
+        topic = query["topic"]
+        end = self._store.find_end(topic)
+        if "at" in query and int(query["at"]) != end:
+            return _answer_json(412, {"end": end})
+        records: list[bytes] = []
+        at = 0
+        while at < len(body):
+            (length,) = LENGTH.unpack_from(body, at)
+            records.append(body[at + LENGTH.size : at + LENGTH.size + length])
+            at += LENGTH.size + length
+        offset = self._store.append(topic, records)
+        return _answer_json(200, {"offset": offset, "end": offset + len(records)})
+
+    async def _read(self, query: dict[str, str]) -> http_server.Reply:
+        topic, start = query["topic"], int(query["from"])
+        wait = int(query.get("wait_ms", "0")) / MILLISECONDS
+        records: list[bytes] = []
+        with anyio.move_on_after(wait or POLL_PAUSE):
+            while not records:
+                try:
+                    records = self._store.read(topic, start)
+                except topic_store.TopicGoneError as error:
+                    return _answer_json(410, {"first": error.first})
+                if not records:
+                    await anyio.sleep(POLL_PAUSE)
+        head = HEAD.pack(self._store.find_end(topic), self._store.find_first(topic))
+        content = b"".join(LENGTH.pack(len(one)) + one for one in records)
+        return http_server.Reply(200, [], head + content)
+
+    def _list_newest(self, query: dict[str, str]) -> http_server.Reply:
+        topic, after = query["topic"], query.get("after", "")
+        left = [one for one in self._store.list_newest(topic) if one.key > after]
+        items = [
+            {
+                "key": one.key,
+                "value": base64.b64encode(one.value).decode(),
+                "offset": one.offset,
+            }
+            for one in left[:PAGE]
+        ]
+        end = self._store.find_end(topic)
+        page = {"items": items, "has_more": len(left) > PAGE, "end": end}
+        return _answer_json(200, page)
+
+
+def _answer_json(status: int, content: dict[str, object]) -> http_server.Reply:
+    headers = [(b"content-type", b"application/json")]
+    return http_server.Reply(status, headers, json.dumps(content).encode())
--- /dev/null
+++ b/tests/deployment/test_configuration.py
@@ -0,0 +1,24 @@
+"""The configuration in force never goes back."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+
+from zinniastand_core.deployment import configuration
+
+
+def make(version: int) -> configuration.Configuration:
+    return configuration.Configuration(version, (), (), configuration.Limits())
+
+
+@hypothesis.given(st.lists(st.integers(1, 50)))
+def test_version_only_grows_whatever_is_offered(versions: list[int]) -> None:
+    # A peer that was cut off offers an old version after the store gave a new one.
+    # Taking it would serve routes that operators have dropped.
+    state = configuration.ConfigurationState()
+    highest = 0
+    for version in versions:
+        assert state.offer(make(version)) == (version > highest)
+        highest = max(highest, version)
+        assert state.version == highest
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,245 @@
+"""Decisions of a dispatcher: placing, waiting, refusing, and what it learns."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from zinniastand_core.deployment import targets
+from zinniastand_core.dispatch import dispatcher, messages, retry_window, work_times
+
+Outcome = messages.Outcome
+
+
+def make_entry(name: str, slots: int = 1) -> targets.Entry:
+    return targets.Entry(
+        target_id=name,
+        service="desk",
+        host="127.0.0.1",
+        port=80,
+        data_centre="a",
+        slots=slots,
+        phase=targets.Phase.READY,
+        born=1,
+        cold_until=0.0,
+        position=1,
+    )
+
+
+def make_dispatcher(
+    names: str = "ab", slots: int = 1, retries: float = 10.0
+) -> dispatcher.Dispatcher:
+    window = retry_window.RetryWindow(0.2, retries, 10.0)
+    one = dispatcher.Dispatcher(work_times.KindTimes(), window, random.Random(1))
+    one.update_targets([make_entry(name, slots) for name in names], 0.0)
+    return one
+
+
+def make_ask(ticket: str, now: float = 0.0, **changes: object) -> messages.Ask:
+    ask = messages.Ask(
+        ticket=ticket,
+        service="desk",
+        kind="lodge",
+        may_retry=False,
+        priority=1,
+        objective_at=now + 0.6,
+        deadline_at=now + 1.2,
+        attempt=1,
+        data_centre="a",
+    )
+    return dataclasses.replace(ask, **changes)  # type: ignore[arg-type]
+
+
+def report(
+    one: dispatcher.Dispatcher,
+    ticket: str,
+    target: str,
+    outcome: messages.Outcome,
+    now: float,
+    vm: str = "vm-1",
+) -> list[messages.Decision]:
+    told = messages.Report(ticket, "desk", target, outcome, 0.2, vm)
+    return one.report(told, now)
+
+
+def grant_of(decisions: list[messages.Decision], ticket: str) -> messages.Grant:
+    [found] = [one for one in decisions if one.ticket == ticket]
+    assert isinstance(found, messages.Grant)
+    return found
+
+
+def test_each_slot_is_given_once_and_then_requests_wait() -> None:
+    one = make_dispatcher("ab")
+    given = {grant_of(one.ask(make_ask(n), 0.0), n).target_id for n in ("1", "2")}
+    assert given == {"a", "b"}
+    assert one.ask(make_ask("3"), 0.0) == [messages.Wait("3")]
+    decisions = report(one, "1", "a", Outcome.GOOD, 0.1)
+    assert grant_of(decisions, "3").target_id == "a"
+
+
+def test_ask_sent_again_gets_the_same_slot() -> None:
+    # The datagram with the grant is lost and the VM asks again. A second slot for the
+    # same request would stay taken until its deadline.
+    one = make_dispatcher("ab")
+    first = grant_of(one.ask(make_ask("1"), 0.0), "1")
+    again = grant_of(one.ask(make_ask("1"), 0.03), "1")
+    assert again.target_id == first.target_id
+    assert one.in_flight == 1
+
+
+def test_urgent_work_is_served_first() -> None:
+    one = make_dispatcher("a")
+    one.ask(make_ask("held"), 0.0)
+    one.ask(make_ask("late", priority=2), 0.0)
+    one.ask(make_ask("urgent", priority=0), 0.01)
+    decisions = report(one, "held", "a", Outcome.GOOD, 0.1)
+    assert [decision.ticket for decision in decisions] == ["urgent"]
+
+
+def test_work_that_cannot_be_served_in_time_is_refused_on_arrival() -> None:
+    # One slot, and a burst: the queue already holds more work than the request's time.
+    one = make_dispatcher("a")
+    decisions: list[messages.Decision] = []
+    for n in range(30):
+        decisions = one.ask(make_ask(str(n)), 0.0)
+    [refusal] = decisions
+    assert isinstance(refusal, messages.Refuse)
+    assert refusal.reason is messages.RefusalReason.OVERLOADED
+    assert refusal.retry_at > 0.25
+    assert one.queue_length < 8
+
+
+def test_refused_callers_come_back_at_different_times() -> None:
+    one = make_dispatcher("a")
+    times = set()
+    for n in range(40):
+        for decision in one.ask(make_ask(str(n)), 0.0):
+            if isinstance(decision, messages.Refuse):
+                times.add(decision.retry_at)
+    assert len(times) > 20
+    assert max(times) > 1.3 * min(times)
+
+
+def test_failing_target_is_avoided_by_work_that_may_run_only_once() -> None:
+    # A failing target answers errors faster than any other, so it is always free.
+    one = make_dispatcher("ab", slots=3)
+    first = grant_of(one.ask(make_ask("0"), 0.0), "0").target_id
+    report(one, "0", first, Outcome.FAILED, 0.01)
+    for n in range(1, 4):
+        grant = grant_of(one.ask(make_ask(str(n), 0.02), 0.02), str(n))
+        assert grant.target_id != first
+
+
+def test_idempotent_work_finds_out_whether_a_target_has_recovered() -> None:
+    one = make_dispatcher("ab", slots=3)
+    for n in range(4):
+        target = grant_of(one.ask(make_ask(f"g{n}"), 0.0), f"g{n}").target_id
+        outcome = Outcome.FAILED if target == "a" else Outcome.GOOD
+        report(one, f"g{n}", target, outcome, 0.1)
+    now = 3.0
+    ask = make_ask("probe", now, may_retry=True)
+    assert grant_of(one.ask(ask, now), "probe").target_id == "a"
+    # While that one is out, others do not pile up behind it.
+    ask = make_ask("next", now, may_retry=True)
+    assert grant_of(one.ask(ask, now + 0.01), "next").target_id == "b"
+
+
+def test_work_waits_for_a_proved_target_rather_than_try_a_failing_one() -> None:
+    # "a" has just failed and is free, "b" works but is busy for some 0.2 s. The
+    # request would fail at "a" for certain and is in time after "b".
+    one = make_dispatcher("ab")
+    for n in range(6):
+        target = grant_of(one.ask(make_ask(f"g{n}"), 0.0), f"g{n}").target_id
+        outcome = Outcome.FAILED if target == "a" else Outcome.GOOD
+        report(one, f"g{n}", target, outcome, 0.05)
+    assert grant_of(one.ask(make_ask("x", 0.1), 0.1), "x").target_id == "b"
+    assert one.ask(make_ask("y", 0.1), 0.1) == [messages.Wait("y")]
+    assert grant_of(report(one, "x", "b", Outcome.GOOD, 0.3), "y").target_id == "b"
+
+
+def test_slow_target_is_avoided_until_its_slowness_fades() -> None:
+    one = make_dispatcher("ab", slots=3)
+    for n in range(20):
+        ask = make_ask(f"{n}", n * 0.3)
+        target = grant_of(one.ask(ask, n * 0.3), f"{n}").target_id
+        took = 1.5 if target == "a" else 0.2
+        told = messages.Report(f"{n}", "desk", target, Outcome.GOOD, took, "vm-1")
+        one.report(told, n * 0.3 + 0.2)
+    grant = grant_of(one.ask(make_ask("x", 6.0), 6.0), "x")
+    assert grant.target_id == "b"
+
+
+def test_target_is_not_left_out_because_one_vm_cannot_reach_it() -> None:
+    # A VM is cut off from a target. Others reach it; leaving it out for all would
+    # throw capacity away on a fault of the link.
+    one = make_dispatcher("a")
+    for n in range(3):
+        one.ask(make_ask(str(n)), 0.0)
+        report(one, str(n), "a", Outcome.UNREACHABLE, 0.0, vm="vm-1")
+    assert grant_of(one.ask(make_ask("x"), 0.0), "x").target_id == "a"
+    report(one, "x", "a", Outcome.UNREACHABLE, 0.0, vm="vm-2")
+    assert one.ask(make_ask("y"), 0.01) == [messages.Wait("y")]
+
+
+def test_slot_without_a_report_comes_back() -> None:
+    # The VM that held the slot was killed, or its report was lost.
+    one = make_dispatcher("a")
+    one.ask(make_ask("1"), 0.0)
+    one.ask(make_ask("2", 1.0), 1.0)
+    late = 1.2 + dispatcher.TICKET_GRACE + 0.01
+    decisions = one.wake(late)
+    assert grant_of(decisions, "2").target_id == "a"
+
+
+def test_abandoned_ask_frees_its_place_in_the_queue() -> None:
+    one = make_dispatcher("a")
+    one.ask(make_ask("1"), 0.0)
+    one.ask(make_ask("2"), 0.0)
+    report(one, "2", "", Outcome.ABANDONED, 0.05)
+    assert report(one, "1", "a", Outcome.GOOD, 0.1) == []
+
+
+def test_late_grant_that_nobody_waits_for_is_given_back() -> None:
+    # The grant came after its VM had asked somebody else. The VM says so by the
+    # ticket alone, since it never learned of the target.
+    one = make_dispatcher("a")
+    one.ask(make_ask("1"), 0.0)
+    report(one, "1", "", Outcome.ABANDONED, 0.1)
+    assert one.in_flight == 0
+    assert grant_of(one.ask(make_ask("2", 0.1), 0.1), "2").target_id == "a"
+
+
+def test_retries_are_refused_beyond_their_budget() -> None:
+    one = make_dispatcher("abcdefgh", slots=4, retries=2.0)
+    answers = [
+        one.ask(make_ask(str(n), attempt=2, excluded=("a",)), 0.0)[0] for n in range(3)
+    ]
+    assert isinstance(answers[-1], messages.Refuse)
+    assert answers[-1].reason is messages.RefusalReason.RETRY_BUDGET
+
+
+def test_no_target_at_all_is_said_at_once() -> None:
+    one = make_dispatcher("")
+    [refusal] = one.ask(make_ask("1"), 0.0)
+    assert isinstance(refusal, messages.Refuse)
+    assert refusal.reason is messages.RefusalReason.NO_TARGET
+
+
+def test_new_dispatcher_counts_slots_that_another_gave() -> None:
+    # The VM that dispatched was killed. Its successor would give every slot a second
+    # time, and targets would turn the work away.
+    one = make_dispatcher("a")
+    one.adopt(messages.Held(make_ask("old"), "a"), 0.0)
+    assert one.ask(make_ask("1"), 0.0) == [messages.Wait("1")]
+    decisions = report(one, "old", "a", Outcome.GOOD, 0.2)
+    assert grant_of(decisions, "1").target_id == "a"
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_every_outcome_frees_the_slot(outcome: messages.Outcome) -> None:
+    one = make_dispatcher("a")
+    one.ask(make_ask("1"), 0.0)
+    report(one, "1", "a", outcome, 0.2)
+    assert one.in_flight == 0
--- /dev/null
+++ b/tests/edge/test_edge_daemon.py
@@ -0,0 +1,248 @@
+"""The whole path: callers, VMs, the store and targets, on loopback."""
+
+from __future__ import annotations
+
+import anyio
+import edge_site
+import httpx
+import pytest
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the loop that the edge uses."""
+    return "asyncio"
+
+
+async def start(site: edge_site.Site, *names: str) -> list[edge_site.Vm]:
+    vms = [await site.start_vm(name) for name in names]
+    for vm in vms:
+        await edge_site.wait_ready(vm)
+    return vms
+
+
+async def test_request_is_served_from_end_to_end() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        [vm] = await start(site, "vm-1")
+        answer = await edge_site.call(vm, "/a/b?c=d", time_left=900)
+        assert answer.status_code == 200
+        assert answer.content == b"t1 hello"
+        assert answer.headers["X-Server-Seal"] == "signed"
+        assert answer.headers["X-Request-Id"] == "id-1"
+        assert 0 < site.targets["t1"].time_left[0] <= 900
+
+
+async def test_only_one_vm_reads_the_targets_for_all() -> None:
+    # Calls to the store are priced, and 36 VMs that each poll it cost as much as the
+    # failures that they prevent.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        target = edge_site.Target("t1")
+        await site.start_target(target)
+        vms = await start(site, *(f"vm-{n}" for n in range(6)))
+        await anyio.sleep(2.5)
+        before = site.store.calls
+        for _ in range(20):
+            site.register(target)
+            await anyio.sleep(0.1)
+        assert site.store.calls - before <= 9
+        before = site.store.calls
+        await anyio.sleep(3.0)
+        assert site.store.calls - before <= 4
+        site.register(target, "draining")
+        await anyio.sleep(1.0)
+        answers = [await edge_site.call(vm) for vm in vms]
+        assert {answer.status_code for answer in answers} == {503}
+
+
+async def test_error_of_idempotent_work_is_tried_elsewhere() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(kind="safe")])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+        site.targets["t1"].status = 500
+        [vm] = await start(site, "vm-1")
+        answers = [await edge_site.call(vm, request_id=f"r{n}") for n in range(10)]
+        assert {answer.status_code for answer in answers} == {200}
+
+
+async def test_work_that_may_run_only_once_is_not_sent_twice() -> None:
+    # The target runs the request and answers with an error of its own. The caller
+    # gets that error; no other target sees the request.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+            site.targets[name].status = 500
+        [vm] = await start(site, "vm-1")
+        for n in range(6):
+            answer = await edge_site.call(vm, request_id=f"r{n}")
+            assert answer.status_code == 500
+        ran = site.targets["t1"].ran + site.targets["t2"].ran
+        assert sorted(ran) == [f"r{n}" for n in range(6)]
+
+
+async def test_work_that_targets_turn_away_is_told_not_to_have_run() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].status = 503
+        [vm] = await start(site, "vm-1")
+        answer = await edge_site.call(vm)
+        assert answer.status_code == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert site.targets["t1"].ran == []
+
+
+async def test_caller_gets_an_answer_at_the_routes_time_limit() -> None:
+    # A target hangs. The operator wants nobody to wait for longer than the route's
+    # limit; the work may have run, so nothing is promised.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=300)])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 5.0
+        [vm] = await start(site, "vm-1")
+        began = anyio.current_time()
+        answer = await edge_site.call(vm)
+        assert answer.status_code == 504
+        assert 0.25 < anyio.current_time() - began < 0.6
+
+
+async def test_idempotent_work_is_cancelled_when_its_caller_leaves() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(kind="safe")])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 1.2
+        [vm] = await start(site, "vm-1")
+        with anyio.move_on_after(0.2):
+            await edge_site.call(vm, request_id="left")
+        await edge_site.wait_until(
+            lambda: site.targets["t1"].cancelled == ["left"], limit=0.5
+        )
+
+
+async def test_unknown_path_is_not_found_and_unknown_everything_unavailable() -> None:
+    # Without a configuration a VM cannot know which paths exist: "not found" would be
+    # false for a route that is there.
+    async with edge_site.run_site() as site:
+        vm = await site.start_vm("vm-1")
+        await anyio.sleep(0.3)
+        assert (await edge_site.call(vm)).status_code == 503
+        site.publish([edge_site.make_route("/known/")])
+        await site.start_target(edge_site.Target("t1"))
+        await edge_site.wait_ready(vm)
+        assert (await edge_site.call(vm, "/other")).status_code == 404
+        assert (await edge_site.call(vm, "/known/x")).status_code == 200
+
+
+async def test_new_configuration_is_in_force_within_its_bound() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        [vm] = await start(site, "vm-1")
+        site.publish([edge_site.make_route("/new/")])
+        await anyio.sleep(0.5)
+        assert (await edge_site.call(vm, "/new/x")).status_code == 200
+        assert (await edge_site.call(vm, "/old/x")).status_code == 404
+
+
+async def test_vm_that_cannot_reach_the_store_hears_from_its_peers() -> None:
+    # A VM starts while the store refuses it, knowing one peer from before. It would
+    # refuse every caller until the store is back, though its peer knows it all.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        first, second = await start(site, "vm-1", "vm-2")
+        site.store.fault = edge_site.topic_store.Fault.SILENT
+        await anyio.sleep(0.2)
+        # Only the first VM's own read gets through.
+        site.publish([edge_site.make_route("/new/")])
+        current = edge_site.store.decoding.decode_configuration(
+            edge_site.encode_configuration(
+                site.version, [edge_site.make_route("/new/")]
+            )
+        )
+        first.daemon.use_configuration(current)
+        await anyio.sleep(1.0)
+        assert (await edge_site.call(second, "/new/x")).status_code == 200
+
+
+async def test_stop_answers_what_it_has_read_and_refuses_readiness_first() -> None:
+    # A planned stop: the balancer learns it first, requests under way are answered,
+    # kept connections are told to close.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 0.8
+        [vm] = await start(site, "vm-1")
+        answers: list[httpx.Response] = []
+
+        async def send() -> None:
+            answers.append(await edge_site.call(vm))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await edge_site.wait_until(lambda: bool(site.targets["t1"].ran))
+            vm.daemon.stop()
+            await anyio.sleep(0.05)
+            address = vm.settings.readiness
+            async with httpx.AsyncClient() as client:
+                url = f"http://{address.host}:{address.port}/"
+                assert (await client.get(url)).status_code == 503
+        assert [answer.status_code for answer in answers] == [200]
+        assert answers[0].headers["Connection"] == "close"
+
+
+async def test_dispatcher_that_dies_costs_no_request() -> None:
+    # The VM that dispatches a service stops without a word. The others notice by an
+    # unanswered ask, and go on with the next in rank.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+        vms = await start(site, *(f"vm-{n}" for n in range(4)))
+        await anyio.sleep(2.3)
+        for vm in vms:
+            assert (await edge_site.call(vm)).status_code == 200
+        dispatchers = {vm.daemon.find_dispatcher("desk") for vm in vms}
+        assert len(dispatchers) == 1
+        [victim] = [vm for vm in vms if vm.settings.vm in dispatchers]
+        victim.daemon.kill()
+        rest = [vm for vm in vms if vm is not victim]
+        for vm in rest:
+            assert (await edge_site.call(vm)).status_code == 200
+        assert victim.settings.vm not in {
+            vm.daemon.find_dispatcher("desk") for vm in rest
+        }
+
+
+async def test_every_decision_about_a_request_is_logged() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        [vm] = await start(site, "vm-1")
+        await edge_site.call(vm, request_id="traced")
+        lines = [one for one in vm.read_log() if one.get("request") == "traced"]
+        assert [one["event"] for one in lines] == ["attempt", "answer"]
+        assert lines[0]["target"] == "t1"
+        assert lines[1]["status"] == 200
+        assert {"started", "configuration_in_force", "target_changed"} <= {
+            one["event"] for one in vm.read_log()
+        }
+
+
+async def test_metrics_are_served() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        [vm] = await start(site, "vm-1")
+        await edge_site.call(vm)
+        address = vm.settings.metrics
+        async with httpx.AsyncClient() as client:
+            answer = await client.get(f"http://{address.host}:{address.port}/metrics")
+        assert 'zinniastand_answers_total{status="200",why="200"} 1' in answer.text
+        assert "zinniastand_answer_seconds_count 1" in answer.text
--- /dev/null
+++ b/tests/edge_site.py
@@ -0,0 +1,284 @@
+"""A small site for tests of the edge: a store, scripted targets and some VMs."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import os
+import random
+import socket
+
+import anyio
+import anyio.abc
+import httpx
+
+from zinniastand_core.deployment import configuration
+from zinniastand_platform import store, words
+from zinniastand_proxy.edge import (
+    desk,
+    edge_daemon,
+    edge_settings,
+    http_server,
+    log_lines,
+)
+from zinniastand_standins import topic_store, topic_store_app
+
+HOST = "127.0.0.1"
+LOG_BYTES = 10_000_000
+
+
+def find_port() -> int:
+    """Return a port that nothing listens on, for TCP and UDP."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def fail_on_error(error: BaseException) -> None:
+    """Let an unexpected error of a stand-in fail the test."""
+    raise error
+
+
+class Target:
+    """A scripted target; `status` and the other switches say how it answers."""
+
+    def __init__(self, target_id: str, service: str = "desk") -> None:
+        self.target_id = target_id
+        self.service = service
+        self.port = 0
+        self.status = 200
+        self.delay = 0.0
+        self.slots = 4
+        self.ran: list[str] = []
+        self.cancelled: list[str] = []
+        self.time_left: list[int] = []
+
+    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
+        """Run one request."""
+        headers = dict(incoming.request.headers)
+        request_id = headers[words.HEADERS.request_id].decode()
+        if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
+            return http_server.Reply(421, [], b"")
+        if self.status == 503:
+            return http_server.Reply(503, [(words.HEADERS.not_run, b"1")], b"")
+        self.ran.append(request_id)
+        self.time_left.append(int(headers[words.HEADERS.time_left]))
+        with anyio.CancelScope() as scope:
+            incoming.caller.watch(scope, lambda: True)
+            await anyio.sleep(self.delay)
+        if incoming.caller.has_left:
+            self.cancelled.append(request_id)
+        answered = [
+            (words.HEADERS.request_id, request_id.encode()),
+            (words.HEADERS.signature, b"signed"),
+        ]
+        body = self.target_id.encode() + b" " + incoming.request.body
+        return http_server.Reply(self.status, answered, body)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the site."""
+
+    daemon: edge_daemon.EdgeDaemon
+    """Its daemon."""
+
+    settings: edge_settings.Settings
+    """Its settings."""
+
+    read_log: collections.abc.Callable[[], list[dict[str, object]]]
+    """Returns the lines that it has logged since the last call."""
+
+
+class Site:
+    """The whole site."""
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        self._group = group
+        self.store = topic_store.TopicStore()
+        self.store_port = 0
+        self.targets: dict[str, Target] = {}
+        self.vms: list[Vm] = []
+        self.version = 0
+
+    async def start_store(self) -> None:
+        """Serve the store."""
+        app = topic_store_app.TopicStoreApp(self.store)
+        server = http_server.Server(app, configuration.Limits, fail_on_error)
+        self.store_port = await self._group.start(server.serve, HOST, 0)
+
+    async def start_target(self, target: Target) -> None:
+        """Serve a target and register it."""
+        server = http_server.Server(target, configuration.Limits, fail_on_error)
+        target.port = await self._group.start(server.serve, HOST, 0)
+        self.targets[target.target_id] = target
+        self.register(target)
+
+    def register(self, target: Target, state: str = "ready") -> None:
+        """Write a target's entry."""
+        entry = {
+            "service": target.service,
+            "address": f"{HOST}:{target.port}",
+            "zone": "a",
+            "version": "v1",
+            "concurrency": target.slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        value = json.dumps(entry).encode()
+        self.store.put(words.TARGETS_TOPIC, target.target_id, value)
+
+    def publish(self, routes: list[list[object]]) -> None:
+        """Publish a configuration of these routes."""
+        self.version += 1
+        self.store.put(
+            words.CONFIGURATION_TOPIC,
+            words.CONFIGURATION_KEY,
+            encode_configuration(self.version, routes),
+        )
+
+    async def start_vm(self, name: str) -> Vm:
+        """Start a VM."""
+        settings = self.make_settings(name)
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        log = log_lines.LogLines(name, writer)
+        daemon = edge_daemon.EdgeDaemon(
+            settings,
+            store.PlatformStore(settings.store, log),
+            words.HEADERS,
+            log,
+            random.Random(name),
+        )
+        await self._group.start(daemon.run)
+        lines: list[dict[str, object]] = []
+
+        def read_log() -> list[dict[str, object]]:
+            log.flush()
+            with contextlib.suppress(BlockingIOError):
+                data = os.read(reader, LOG_BYTES)
+                lines.extend(json.loads(line) for line in data.splitlines())
+            return lines
+
+        vm = Vm(daemon, settings, read_log)
+        self.vms.append(vm)
+        return vm
+
+    def make_settings(self, name: str) -> edge_settings.Settings:
+        """Return the settings of a VM."""
+
+        def address() -> edge_settings.Address:
+            return edge_settings.Address(HOST, find_port())
+
+        return edge_settings.Settings(
+            vm=name,
+            data_centre="a",
+            callers=address(),
+            readiness=address(),
+            metrics=address(),
+            peers=address(),
+            store=edge_settings.Address(HOST, self.store_port),
+            stop_limit=6.0,
+            unready_after=0.3,
+            retries=desk.RetryBudget(0.2, 50.0, 10.0),
+        )
+
+
+def make_route(
+    prefix: str = "/", kind: str = "unsafe", service: str = "desk", **changes: object
+) -> list[object]:
+    """Return a row of the routes table."""
+    row: dict[str, object] = {
+        "name": f"r{prefix}",
+        "host": "desk.example",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 1500,
+        "target_latency_ms": 600,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+    row.update(changes)
+    return list(row.values())
+
+
+def encode_configuration(version: int, routes: list[list[object]]) -> bytes:
+    """Return a configuration as operators publish it."""
+    columns = ["name", "host", "path_prefix", "kind", "timeout_ms"]
+    columns += ["target_latency_ms", "priority", "service", "max_attempts"]
+    known = {str(row[columns.index("service")]) for row in routes}
+    content = {
+        "version": f"{version:08x}",
+        "routes": {"columns": columns, "rows": routes},
+        "services": {
+            "columns": ["name", "health_path", "max_conns", "protocol", "tls"],
+            "rows": [[name, "/health", 330, "h1", False] for name in known],
+        },
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 2000,
+        },
+    }
+    return json.dumps(content).encode()
+
+
+@contextlib.asynccontextmanager
+async def run_site() -> collections.abc.AsyncIterator[Site]:
+    """Run a site with a store."""
+    async with anyio.create_task_group() as group:
+        site = Site(group)
+        await site.start_store()
+        yield site
+        group.cancel_scope.cancel()
+
+
+async def wait_until(
+    condition: collections.abc.Callable[[], bool], limit: float = 5.0
+) -> None:
+    """Return once a condition holds; fail after `limit` seconds."""
+    with anyio.fail_after(limit):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def wait_ready(vm: Vm) -> None:
+    """Return once a VM says that it is ready."""
+    address = vm.settings.readiness
+    async with httpx.AsyncClient() as client:
+        with anyio.fail_after(5.0):
+            while True:
+                answer = await client.get(f"http://{address.host}:{address.port}/ready")
+                if answer.status_code == 200:
+                    return
+                await anyio.sleep(0.02)
+
+
+async def call(
+    vm: Vm,
+    path: str = "/x",
+    request_id: str = "id-1",
+    method: str = "POST",
+    time_left: int = 2000,
+    host: str = "desk.example",
+    body: bytes = b"hello",
+) -> httpx.Response:
+    """Send one request to a VM."""
+    address = vm.settings.callers
+    async with httpx.AsyncClient(timeout=10.0) as client:
+        return await client.request(
+            method,
+            f"http://{address.host}:{address.port}{path}",
+            headers={
+                "Host": host,
+                "X-Request-Id": request_id,
+                "X-Deadline-Ms": str(time_left),
+            },
+            content=body,
+        )
--- /dev/null
+++ b/tests/forwarding/test_plan.py
@@ -0,0 +1,102 @@
+"""The promises of a request's plan: never twice, and "not run" only with proof."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from zinniastand_core import services
+from zinniastand_core.deployment import configuration
+from zinniastand_core.forwarding import plan
+
+Result, Step = plan.Result, plan.Step
+
+
+def make_plan(work: services.Work, attempts: int = 3) -> plan.Plan:
+    route = configuration.Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        work=work,
+        time_limit=1.0,
+        objective=0.5,
+        max_attempts=attempts,
+        priority=0,
+        parts=(configuration.Part("desk", 1.0),),
+    )
+    return plan.Plan(route, plan.Times(objective_at=0.5, deadline_at=1.0))
+
+
+def attempt(one: plan.Plan, result: plan.Result, now: float = 0.1) -> plan.Step:
+    one.start_attempt(f"t{one.attempts}")
+    if result is not Result.UNREACHABLE:
+        one.mark_sent()
+    return one.end_attempt(result, now)
+
+
+@pytest.mark.parametrize("result", [Result.BROKEN, Result.SILENT, Result.ERROR])
+def test_work_that_may_have_run_goes_to_no_second_target(result: plan.Result) -> None:
+    # The target took the request and gave no whole answer, or an error of its own.
+    # A second target could run it again: one lodgement would become two.
+    one = make_plan(services.Work.AT_MOST_ONCE)
+    step = attempt(one, result)
+    assert step in (Step.SAY_UNKNOWN, Step.RELAY)
+
+
+@pytest.mark.parametrize(
+    "result", [Result.TURNED_AWAY, Result.MISPLACED, Result.UNREACHABLE]
+)
+def test_work_proved_not_to_have_run_is_tried_elsewhere(result: plan.Result) -> None:
+    one = make_plan(services.Work.AT_MOST_ONCE)
+    assert attempt(one, result) is Step.TRY_AGAIN
+    assert one.excluded == ("t0",)
+
+
+def test_not_run_is_said_when_every_target_turned_it_away() -> None:
+    one = make_plan(services.Work.AT_MOST_ONCE, attempts=2)
+    assert attempt(one, Result.TURNED_AWAY) is Step.TRY_AGAIN
+    assert attempt(one, Result.TURNED_AWAY) is Step.SAY_NOT_RUN
+
+
+def test_refusal_of_a_later_target_proves_nothing_of_an_earlier_one() -> None:
+    # Idempotent work breaks off at one target and is turned away by the next. The
+    # first may have run it, so "not run" would be false.
+    one = make_plan(services.Work.IDEMPOTENT, attempts=2)
+    assert attempt(one, Result.BROKEN) is Step.TRY_AGAIN
+    assert attempt(one, Result.TURNED_AWAY) is Step.SAY_UNKNOWN
+
+
+def test_error_of_idempotent_work_is_tried_again_and_kept_as_last_resort() -> None:
+    one = make_plan(services.Work.IDEMPOTENT, attempts=2)
+    assert attempt(one, Result.ERROR) is Step.TRY_AGAIN
+    assert attempt(one, Result.BROKEN) is Step.RELAY
+
+
+def test_no_attempt_begins_when_the_time_is_over() -> None:
+    one = make_plan(services.Work.IDEMPOTENT)
+    assert attempt(one, Result.BROKEN, now=0.99) is Step.SAY_UNKNOWN
+
+
+@hypothesis.given(
+    work=st.sampled_from(list(services.Work)),
+    most=st.integers(1, 4),
+    results=st.lists(st.sampled_from(list(Result)), min_size=1, max_size=12),
+)
+def test_promises_hold_whatever_targets_do(
+    work: services.Work, most: int, results: list[plan.Result]
+) -> None:
+    one = make_plan(work, most)
+    runs = 0
+    step = Step.TRY_AGAIN
+    for result in results:
+        if step is not Step.TRY_AGAIN:
+            break
+        step = attempt(one, result)
+        runs += result not in plan.NOT_RUN
+    assert one.sent <= most
+    if work is services.Work.AT_MOST_ONCE:
+        assert runs <= 1
+    final = one.give_up() if step is Step.TRY_AGAIN else step
+    if final is Step.SAY_NOT_RUN:
+        assert runs == 0
