--- a/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -102,7 +102,7 @@
 
     def list_usable(self, service: str, now: float) -> list[Entry]:
         """Return the targets of a service that may get new work."""
-        self._drop_lapsed(now)
+        self.drop_lapsed(now)
         return [
             entry
             for entry in self._entries.values()
@@ -159,11 +159,11 @@
         known = [one for one in gone if one.target_id in self._entries]
         for one in known:
             entry = self._entries[one.target_id]
+            removed.append(one)
             if entry.phase is Phase.READY and self._is_lapse(entry.service, known):
                 self._lapsing.setdefault(one.target_id, now + LAPSE_GRACE)
-                continue
-            del self._entries[one.target_id]
-            removed.append(one)
+            else:
+                del self._entries[one.target_id]
         return removed
 
     def _is_lapse(self, service: str, gone: list[Gone]) -> bool:
@@ -176,10 +176,13 @@
         )
         return lost > 1 and lost > LAPSE_SHARE * total
 
-    def _drop_lapsed(self, now: float) -> None:
-        for name in [name for name, at in self._lapsing.items() if at <= now]:
+    def drop_lapsed(self, now: float) -> bool:
+        """Drop targets that vanished and did not come back; return whether any did."""
+        due = [name for name, at in self._lapsing.items() if at <= now]
+        for name in due:
             del self._lapsing[name]
             self._entries.pop(name, None)
+        return bool(due)
 
 
 def _differs(known: Entry, entry: Entry) -> bool:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 
 
 class RetryWindow:
@@ -16,15 +17,17 @@
     ----------
     ratio : float
         Most retries per request.
-    slack : float
-        Retries that are allowed beyond that.
+    read_slack : callable
+        Returns how many retries are allowed beyond that now.
     span : float
         Seconds that count.
     """
 
-    def __init__(self, ratio: float, slack: float, span: float) -> None:
+    def __init__(
+        self, ratio: float, read_slack: collections.abc.Callable[[], float], span: float
+    ) -> None:
         self._ratio = ratio
-        self._slack = slack
+        self._read_slack = read_slack
         self._span = span
         self._firsts: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
@@ -45,4 +48,5 @@
         for times in (self._firsts, self._retries):
             while times and times[0] <= now - self._span:
                 times.popleft()
-        return self._ratio * len(self._firsts) + self._slack - len(self._retries)
+        allowed = self._ratio * len(self._firsts) + self._read_slack()
+        return allowed - len(self._retries)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -6,13 +6,23 @@
 import dataclasses
 import random
 
+import anyio
+
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import dispatcher, messages, retry_window, work_times
 
-from . import datagrams
+from . import datagrams, members
 
 Deliver = collections.abc.Callable[[str, messages.Decision], None]
 
+SHARE_OF_SLACK = 0.4
+"""Share of the slack of retries that one dispatcher gives out. While VMs disagree who
+dispatches, two may do so; their sum stays below the whole."""
+
+ALONE_AFTER = 10.0
+"""Seconds after the last ask of another VM from which a dispatcher counts as one that
+decides for its own VM alone."""
+
 KEEP_ASKER = 60.0
 """Seconds after which the asker of a ticket is forgotten; longer than any deadline."""
 
@@ -36,6 +46,8 @@
 
     Parameters
     ----------
+    fleet : members.Members
+        The VMs.
     registry : targets.Registry
         Targets known.
     budget : RetryBudget
@@ -48,11 +60,13 @@
 
     def __init__(
         self,
+        fleet: members.Members,
         registry: targets.Registry,
         budget: RetryBudget,
         rng: random.Random,
         deliver: Deliver,
     ) -> None:
+        self._fleet = fleet
         self._registry = registry
         self._budget = budget
         self._rng = rng
@@ -60,6 +74,7 @@
         self._dispatchers: dict[str, dispatcher.Dispatcher] = {}
         self._times: dict[str, work_times.KindTimes] = {}
         self._askers: dict[str, tuple[str, float]] = {}
+        self._alone_at: dict[str, float] = {}
 
     @property
     def services(self) -> list[str]:
@@ -73,6 +88,8 @@
     def ask(self, vm: str, ask: messages.Ask, now: float) -> None:
         """Take in an ask of a VM; decisions go out through `deliver`."""
         self._askers[ask.ticket] = (vm, now + KEEP_ASKER)
+        if vm != self._fleet.own.vm:
+            self._alone_at[ask.service] = now + ALONE_AFTER
         self._send(self._open(ask.service, now).ask(ask, now))
 
     def report(self, report: messages.Report, now: float) -> None:
@@ -130,13 +147,25 @@
         if known is None:
             times = self._times[service] = work_times.KindTimes()
             window = retry_window.RetryWindow(
-                self._budget.ratio, self._budget.slack, self._budget.window
+                self._budget.ratio,
+                lambda: self._find_slack(service),
+                self._budget.window,
             )
             known = dispatcher.Dispatcher(times, window, self._rng)
             self._dispatchers[service] = known
             known.update_targets(self._registry.list_usable(service, now), now)
         return known
 
+    def _find_slack(self, service: str) -> float:
+        """Return the retries that this dispatcher may give out beyond the share.
+
+        VMs that reach no common dispatcher each decide alone. With the whole slack
+        for each, a fleet of them would go beyond it many times over.
+        """
+        if self._alone_at.get(service, 0.0) > anyio.current_time():
+            return SHARE_OF_SLACK * self._budget.slack
+        return SHARE_OF_SLACK * self._budget.slack / self._fleet.count()
+
     def _send(self, decisions: list[messages.Decision]) -> None:
         for decision in decisions:
             asker = self._askers.get(decision.ticket)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -169,11 +169,12 @@
         )
         self._fleet = members.Members(own, now)
         self._configured = configuration.ConfigurationState()
+        self._registry = targets.Registry()
         knowledge = forwarder.Knowledge(
-            self._configured, routing.Router(self._rng), targets.Registry()
+            self._configured, routing.Router(self._rng), self._registry
         )
         self._desk = desk.Desk(
-            knowledge.registry, settings.retries, self._rng, self._deliver
+            self._fleet, self._registry, settings.retries, self._rng, self._deliver
         )
         self._placement = placement.Placement(self._fleet, self._link, log)
         self._placement.use_desk(self._desk)
@@ -280,7 +281,10 @@
     async def _wake_desk(self) -> None:
         while True:
             await anyio.sleep(WAKE_PAUSE)
-            self._desk.wake(anyio.current_time())
+            now = anyio.current_time()
+            if self._registry.drop_lapsed(now):
+                self._desk.update_targets(now)
+            self._desk.wake(now)
 
     async def _tell_opinions(self) -> None:
         while True:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -72,6 +72,10 @@
             self._suspect_until.pop(vm, None)
             self._ranks.clear()
 
+    def count(self) -> int:
+        """Return how many VMs are known, this one included."""
+        return len(self._known)
+
     def find(self, vm: str) -> ports.Member | None:
         """Return a VM's entry."""
         return self._known.get(vm)
--- a/tests/deployment/test_targets.py
+++ b/tests/deployment/test_targets.py
@@ -75,10 +75,13 @@
     registry = targets.Registry()
     registry.apply([make_entry(name, n) for n, name in enumerate("abcdef")], 0.0)
     gone = [targets.Gone(name, 10 + n) for n, name in enumerate("abcde")]
-    registry.apply(gone, 100.0)
+    # The removals are news all the same: other VMs must hear of them.
+    assert registry.apply(gone, 100.0) == gone
     assert list_names(registry, 100.0) == set("abcdef")
     registry.apply([make_entry("a", 30)], 100.5)
     later = 100.0 + targets.LAPSE_GRACE
+    assert registry.drop_lapsed(later)
+    assert not registry.drop_lapsed(later)
     assert list_names(registry, later) == {"a", "f"}
 
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -31,7 +31,7 @@
 def make_dispatcher(
     names: str = "ab", slots: int = 1, retries: float = 10.0
 ) -> dispatcher.Dispatcher:
-    window = retry_window.RetryWindow(0.2, retries, 10.0)
+    window = retry_window.RetryWindow(0.2, lambda: retries, 10.0)
     one = dispatcher.Dispatcher(work_times.KindTimes(), window, random.Random(1))
     one.update_targets([make_entry(name, slots) for name in names], 0.0)
     return one
--- a/tests/dispatch/test_retry_window.py
+++ b/tests/dispatch/test_retry_window.py
@@ -14,7 +14,7 @@
 def test_no_window_of_time_holds_more_than_its_share(
     steps: list[tuple[float, int]],
 ) -> None:
-    window = retry_window.RetryWindow(0.2, 4.0, 2.0)
+    window = retry_window.RetryWindow(0.2, lambda: 4.0, 2.0)
     now, firsts, retries = 0.0, [], []
     for pause, wanted in steps:
         now += pause
--- /dev/null
+++ b/tests/edge/test_desk.py
@@ -0,0 +1,62 @@
+"""Retries that a VM's dispatchers give out, together with those of other VMs."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import anyio
+import pytest
+
+from zinniastand_core.deployment import targets
+from zinniastand_core.dispatch import messages
+from zinniastand_proxy.edge import desk, members, ports
+
+pytestmark = pytest.mark.anyio
+
+ASK = messages.Ask("t", "desk", "r", True, 1, 0.0, 0.0, 2, "a")
+
+
+def make_desk(vms: int) -> tuple[desk.Desk, list[messages.Decision]]:
+    now = anyio.current_time()
+    fleet = members.Members(ports.Member("own", "a", "127.0.0.1", 1, 1), now)
+    for n in range(vms - 1):
+        fleet.add(ports.Member(f"vm-{n}", "a", "127.0.0.1", 1, 1))
+    registry = targets.Registry()
+    entry = targets.Entry(
+        "t1", "desk", "127.0.0.1", 1, "a", 1000, targets.Phase.READY, 1, 0.0, 1
+    )
+    registry.apply([entry], now)
+    decisions: list[messages.Decision] = []
+    made = desk.Desk(
+        fleet,
+        registry,
+        desk.RetryBudget(0.2, 50.0, 10.0),
+        random.Random(1),
+        lambda _, decision: decisions.append(decision),
+    )
+    return made, decisions
+
+
+def count_retries(made: desk.Desk, decisions: list[messages.Decision], vm: str) -> int:
+    now = anyio.current_time()
+    before = len(decisions)
+    for n in range(100):
+        ask = dataclasses.replace(
+            ASK, ticket=f"{vm}{n}", objective_at=now + 1, deadline_at=now + 2
+        )
+        made.ask(vm, ask, now)
+    return sum(isinstance(one, messages.Grant) for one in decisions[before:])
+
+
+async def test_vms_that_decide_alone_share_the_slack() -> None:
+    # All VMs lose each other at once and each places its own requests. Callers repeat
+    # and targets fail: with the whole slack for each, retries would pile up 36 fold.
+    made, decisions = make_desk(vms=20)
+    assert count_retries(made, decisions, "own") <= 50 / 20
+
+
+async def test_dispatcher_of_the_fleet_gives_less_than_half_of_the_slack() -> None:
+    # Two VMs may take themselves for the dispatcher for a while.
+    made, decisions = make_desk(vms=20)
+    assert 10 < count_retries(made, decisions, "vm-1") <= 25
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -83,8 +83,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(publish)
             found = await client.wait_configuration(page.position, 5.0)
-        assert found.newest is not None
-        assert found.newest.version == 7
+            assert found.newest is not None
+            assert found.newest.version == 7
 
 
 async def test_broken_and_foreign_records_are_passed_over() -> None:
