Judge no target by the first fast answers of a new kind of work

Cause: each new route starts from a guess of 200 ms. Ruled out: hanging targets. Fast answers count once the kind's mean rests on eight samples.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -280,10 +280,16 @@
     def _learn_time(
         self, state: pool.TargetState, kind: str, took: float, now: float
     ) -> None:
-        """Learn how long a kind of work takes apart from how slow its target is."""
+        """Learn how long a kind of work takes apart from how slow its target is.
+
+        Fast first answers of a new kind say nothing of their target: work of a few
+        milliseconds, held against the first guess, made targets look twenty times
+        faster than usual, and other work there was broken off as overdue.
+        """
         slowness = state.find_slowness(now)
         mean = max(self._kinds.find_mean(kind), LEAST_MEAN)
-        state.note_slowness(took / mean, now)
+        if took > mean or self._kinds.is_known(kind):
+            state.note_slowness(took / mean, now)
         self._kinds.add(kind, took / max(1.0, slowness))
 
     def _find_wait(self, waiting: _Waiting, now: float) -> float:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
@@ -14,6 +14,10 @@
 """Samples that the first guess counts for, so that one long piece of work at the start
 is not taken for the usual."""
 
+KNOWN_AFTER = 8
+"""Samples from which the mean of a kind of work is known well enough to judge the speed
+of a target by it."""
+
 SPEED_WEIGHT = 0.2
 """Weight of a new sample in a target's slowness: four slow answers in a row show."""
 
@@ -36,6 +40,10 @@
         """Return the mean time in seconds."""
         return self._means.get(kind, FIRST_GUESS)
 
+    def is_known(self, kind: str) -> bool:
+        """Return whether the mean rests on enough samples to judge a target by it."""
+        return self._samples.get(kind, 0) >= GUESS_WEIGHT + KNOWN_AFTER
+
     @property
     def means(self) -> dict[str, float]:
         """Mean seconds of each kind seen so far."""
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -243,3 +243,16 @@
     one.ask(make_ask("1"), 0.0)
     report(one, "1", "a", outcome, 0.2)
     assert one.in_flight == 0
+
+
+def test_first_answers_of_a_new_kind_say_nothing_of_their_target() -> None:
+    # A new route has work of two milliseconds. Held against the first guess of 200,
+    # each answer made its target look many times faster than it is: it drew other
+    # work, which was then broken off as overdue.
+    one = make_dispatcher("a", slots=3)
+    for n in range(6):
+        one.ask(make_ask(f"{n}", kind=f"new-{n}"), 0.0)
+        told = messages.Report(f"{n}", "desk", "a", Outcome.GOOD, 0.002, "vm-1")
+        one.report(told, 0.0)
+    grant = grant_of(one.ask(make_ask("x"), 0.0), "x")
+    assert grant.expected == pytest.approx(work_times.FIRST_GUESS)
