Let requests wait at this VM's own dispatcher, and test placement and knowledge

Cause: the note that a dispatcher has answered was cleared after the ask was sent. This VM's own dispatcher answers within the call, so that "wait" was forgotten: a VM that decides by itself refused each request that had to wait after 90 ms. Found by the new test of a request that waits.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -126,9 +126,10 @@
             now = anyio.current_time()
             if now >= ask.deadline_at:
                 return pending.answer
-            self._send_ask(vm, ask, now)
             pause = WAIT_CHECK if pending.is_heard else ANSWER_TIMES[misses]
+            # Before sending: this VM's own dispatcher answers at once.
             pending.is_heard = False
+            self._send_ask(vm, ask, now)
             await self._wait(pending, min(now + pause, ask.deadline_at))
             if pending.answer is not None:
                 return pending.answer
--- /dev/null
+++ b/tests/edge/test_knowledge_keeper.py
@@ -0,0 +1,65 @@
+"""What a VM makes of news from peers, and of a store that comes and goes."""
+
+from __future__ import annotations
+
+import anyio
+import edge_site
+import pytest
+
+from zinniastand_standins import topic_store
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_configuration_is_in_force_soon_after_an_outage() -> None:
+    # The store is silent while a VM waits on it, and a version is published as it
+    # returns. The old wait will never be answered; only a new call can tell.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        vm = await site.start_vm("vm-1")
+        await edge_site.wait_ready(vm)
+        site.store.fault = topic_store.Fault.SILENT
+        await anyio.sleep(1.5)
+        site.store.fault = topic_store.Fault.NONE
+        site.publish([edge_site.make_route("/new/")])
+        await anyio.sleep(2.0)
+        assert (await edge_site.call(vm, "/new/x")).status_code == 200
+        events = [line["event"] for line in vm.read_log()]
+        assert "store_lost" in events
+        assert "store_back" in events
+
+
+async def test_history_that_is_forgotten_is_read_anew() -> None:
+    # The store drops its old records, and a target left in the gap: nothing but the
+    # whole listing tells.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2", "t3", "t4"):
+            await site.start_target(edge_site.Target(name))
+        vm = await site.start_vm("vm-1")
+        await edge_site.wait_ready(vm)
+        site.register(site.targets["t1"], "draining")
+        site.store.forget(edge_site.words.TARGETS_TOPIC)
+        await anyio.sleep(1.2)
+        for n in range(6):
+            await edge_site.call(vm, request_id=f"r{n}")
+        assert site.targets["t1"].ran == []
+
+
+async def test_leaving_target_gets_nothing_more_within_its_bound() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(3)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(2.5)
+        site.register(site.targets["t1"], "draining")
+        await anyio.sleep(1.0)
+        before = len(site.targets["t1"].ran)
+        for n in range(12):
+            answer = await edge_site.call(vms[n % 3], request_id=f"r{n}")
+            assert answer.status_code == 200
+        assert len(site.targets["t1"].ran) == before
--- /dev/null
+++ b/tests/edge/test_placement.py
@@ -0,0 +1,200 @@
+"""Getting a target from another VM, from the next one, or from this VM itself."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import os
+import random
+
+import anyio
+import pytest
+
+from zinniastand_core.deployment import targets
+from zinniastand_core.dispatch import messages
+from zinniastand_proxy.edge import (
+    datagrams,
+    desk,
+    log_lines,
+    members,
+    peer_link,
+    placement,
+    ports,
+)
+
+pytestmark = pytest.mark.anyio
+
+ENTRY = targets.Entry(
+    "t1", "desk", "127.0.0.1", 1, "a", 3, targets.Phase.READY, 1, 0.0, 1
+)
+
+
+class FakeLink(peer_link.PeerLink):
+    """Keeps what is sent, and lets a test answer it."""
+
+    def __init__(self) -> None:
+        self.sent_messages: list[tuple[str, datagrams.Message]] = []
+        self.answer: collections.abc.Callable[[str, datagrams.Message], None] = (
+            lambda vm, message: None
+        )
+
+    def send_many(
+        self,
+        message: datagrams.Message,
+        members: collections.abc.Sequence[ports.Member],
+    ) -> None:
+        for member in members:
+            self.sent_messages.append((member.vm, message))
+            self.answer(member.vm, message)
+
+    def list_asked(self) -> list[str]:
+        return [
+            vm for vm, one in self.sent_messages if isinstance(one, datagrams.Asked)
+        ]
+
+
+class Fixture:
+    """One VM among two others that it has heard from."""
+
+    def __init__(self) -> None:
+        now = anyio.current_time() - members.SETTLE_TIME
+        self.fleet = members.Members(ports.Member("own", "a", "127.0.0.1", 1, 1), now)
+        for name in ("vm-1", "vm-2"):
+            self.fleet.add(ports.Member(name, "a", "127.0.0.1", 1, 1))
+            self.fleet.note_heard(name, now)
+        self.link = FakeLink()
+        registry = targets.Registry()
+        registry.apply([ENTRY], now)
+        _, writer = os.pipe()
+        log = log_lines.LogLines("own", writer)
+        self.placement = placement.Placement(self.fleet, self.link, log)
+        self.desk = desk.Desk(
+            self.fleet,
+            registry,
+            desk.RetryBudget(0.2, 10.0, 10.0),
+            random.Random(1),
+            lambda _, decision: self.placement.take_decision(decision),
+        )
+        self.placement.use_desk(self.desk)
+        self.service = self._find_service()
+        self.first, self.second = self.fleet.rank(self.service, self.now, 2)
+
+    @property
+    def now(self) -> float:
+        return anyio.current_time()
+
+    def make_ask(self, ticket: str = "t:1") -> messages.Ask:
+        return messages.Ask(
+            ticket, self.service, "r", False, 1, self.now + 1, self.now + 2, 1, "a"
+        )
+
+    def answer_with_grant(self, *vms: str) -> None:
+        def answer(vm: str, message: datagrams.Message) -> None:
+            if vm in vms and isinstance(message, datagrams.Asked):
+                grant = messages.Grant(message.ask.ticket, "t1", 0.1, 0.2)
+                self.placement.take_decision(grant)
+
+        self.link.answer = answer
+
+    def _find_service(self) -> str:
+        """Return a service whose first two dispatchers are other VMs."""
+        names = (f"desk-{n}" for n in range(100))
+        return next(
+            name for name in names if "own" not in self.fleet.rank(name, self.now, 2)
+        )
+
+
+async def test_first_in_rank_is_asked_and_told_the_outcome() -> None:
+    one = Fixture()
+    one.answer_with_grant(one.first)
+    answer = await one.placement.acquire(one.make_ask())
+    assert isinstance(answer, messages.Grant)
+    assert one.link.list_asked() == [one.first]
+    report = messages.Report(
+        "t:1", one.service, "t1", messages.Outcome.GOOD, 0.1, "own"
+    )
+    one.placement.report(report)
+    assert one.link.sent_messages[-1] == (one.first, report)
+
+
+async def test_silent_dispatcher_is_passed_over_within_a_tenth_of_a_second() -> None:
+    # The first in rank was killed. Its callers would wait until their deadlines; two
+    # unanswered asks are enough to go on, and later requests do not ask it again.
+    one = Fixture()
+    one.answer_with_grant(one.second)
+    began = one.now
+    assert isinstance(await one.placement.acquire(one.make_ask()), messages.Grant)
+    assert one.now - began < sum(placement.ANSWER_TIMES) + 0.1
+    assert one.link.list_asked() == [one.first, one.first, one.second]
+    await one.placement.acquire(one.make_ask("t:2"))
+    assert one.link.list_asked()[3:] == [one.second]
+
+
+async def test_ask_given_up_is_taken_back() -> None:
+    # The grant of the silent one may still be on its way, and would hold a slot.
+    one = Fixture()
+    one.answer_with_grant(one.second)
+    await one.placement.acquire(one.make_ask())
+    reports = [
+        (vm, message.outcome)
+        for vm, message in one.link.sent_messages
+        if isinstance(message, messages.Report)
+    ]
+    assert reports == [(one.first, messages.Outcome.ABANDONED)]
+
+
+async def test_vm_that_reaches_nobody_decides_by_itself() -> None:
+    one = Fixture()
+    # The test's only target belongs to another service; give it to this one.
+    registry = targets.Registry()
+    registry.apply([dataclasses.replace(ENTRY, service=one.service)], one.now)
+    one.placement.use_desk(
+        desk.Desk(
+            one.fleet,
+            registry,
+            desk.RetryBudget(0.2, 10.0, 10.0),
+            random.Random(1),
+            lambda _, decision: one.placement.take_decision(decision),
+        )
+    )
+    answer = await one.placement.acquire(one.make_ask())
+    assert isinstance(answer, messages.Grant)
+    assert answer.target_id == "t1"
+
+
+async def test_new_dispatcher_hears_of_the_slots_in_use() -> None:
+    one = Fixture()
+    one.answer_with_grant(one.first, one.second)
+    await one.placement.acquire(one.make_ask("t:1"))
+    one.fleet.suspect(one.first, one.now)
+    await one.placement.acquire(one.make_ask("t:2"))
+    adopted = [
+        (vm, message.held.ask.ticket)
+        for vm, message in one.link.sent_messages
+        if isinstance(message, datagrams.Adopted)
+    ]
+    assert adopted == [(one.second, "t:1")]
+
+
+async def test_request_that_waits_keeps_asking_a_dispatcher_that_lives() -> None:
+    one = Fixture()
+
+    def answer(vm: str, message: datagrams.Message) -> None:
+        if isinstance(message, datagrams.Asked):
+            one.placement.take_decision(messages.Wait(message.ask.ticket))
+
+    one.link.answer = answer
+    with anyio.move_on_after(0.7):
+        await one.placement.acquire(one.make_ask())
+    assert set(one.link.list_asked()) == {one.first}
+    assert 3 <= len(one.link.list_asked()) <= 6
+
+
+async def test_caller_that_leaves_gives_its_place_back() -> None:
+    one = Fixture()
+    with anyio.move_on_after(0.01):
+        await one.placement.acquire(one.make_ask())
+    vm, message = one.link.sent_messages[-1]
+    assert vm == one.first
+    assert isinstance(message, messages.Report)
+    assert message.outcome is messages.Outcome.ABANDONED
