--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_exchange.py
@@ -29,7 +29,7 @@
 ) -> None:
     """Serve the configuration in force until cancelled."""
 
-    async def answer(stream: anyio.abc.SocketStream) -> None:
+    async def _answer(stream: anyio.abc.SocketStream) -> None:
         async with stream:
             with anyio.move_on_after(FETCH_TIMEOUT):
                 current = read_current()
@@ -41,7 +41,7 @@
     async with await anyio.create_tcp_listener(
         local_host=host, local_port=port
     ) as listener:
-        await listener.serve(answer)
+        await listener.serve(_answer)
 
 
 async def fetch(host: str, port: int) -> configuration.Configuration | None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -231,6 +231,7 @@
             ("zinniastand_target_connections_opened_total", self._client.opened),
             ("zinniastand_configuration_version", self._configured.version),
             ("zinniastand_log_lines_dropped", self._log.dropped),
+            ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
             self.metrics.set_gauge(name, value)
         body = self.metrics.format_text().encode()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
@@ -109,7 +109,6 @@
         self._request = request
         self._engine, self._data = encode_request(request)
         self._is_sent = False
-        self.received = 0
 
     async def run(self) -> Answer:
         """Send the request and return the answer.
@@ -193,7 +192,6 @@
             data = b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise BrokenAnswerError(f"reset: {error!r}") from error
-        self.received += len(data)
         try:
             self._engine.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -132,7 +132,6 @@
         self._lost: set[str] = set()
         self._wait_scope: anyio.CancelScope | None = None
         self._peer_versions: dict[str, tuple[int, float]] = {}
-        self.store_calls = 0
 
     @property
     def is_complete(self) -> bool:
--- a/tests/dispatch/test_load_replay.py
+++ b/tests/dispatch/test_load_replay.py
@@ -65,7 +65,7 @@
     assert mean(one.in_time_share for one in own) > 2 * mean(
         one.in_time_share for one in struck
     )
-    assert mean(one.served_by_kind["lodge"] for one in own) > 0.85
+    assert mean(one.served_by_kind["write"] for one in own) > 0.85
 
 
 def test_overload_is_refused_on_arrival_and_not_later() -> None:
--- a/tests/forwarding/test_plan.py
+++ b/tests/forwarding/test_plan.py
@@ -38,7 +38,7 @@
 @pytest.mark.parametrize("result", [Result.BROKEN, Result.SILENT, Result.ERROR])
 def test_work_that_may_have_run_goes_to_no_second_target(result: plan.Result) -> None:
     # The target took the request and gave no whole answer, or an error of its own.
-    # A second target could run it again: one lodgement would become two.
+    # A second target could run it again: one order would become two.
     one = make_plan(services.Work.AT_MOST_ONCE)
     step = attempt(one, result)
     assert step in (Step.SAY_UNKNOWN, Step.RELAY)
