Soak the real daemons as processes, with faults from outside

Cause: the edge was tested against kills, stops and cuts one at a time; nothing played them in series that overlap against processes and judged only what callers and targets see.

The soak draws a series of faults from a seed: VMs killed, stopped, paused, signalled; links that delay, reset, hold one way, silence, truncate and repeat; a store that refuses, stalls, resets, loses answers and forgets; targets that fail, hang, shed, answer without proof or signature, and leave. Nine promises are judged from the callers' and targets' ledgers.

Before: no such run.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := core proxy standins ctl
 MANIFESTS := $(PACKAGES:%=packages/zinniastand-%/pyproject.toml)
 
-.PHONY: demo test fuzz bench capacity plants check format lint types clean
+.PHONY: demo test fuzz bench capacity plants soak check format lint types clean
 
 .venv/installed: requirements-dev.txt constraints.txt $(MANIFESTS)
 	$(PYTHON) -m venv .venv
@@ -27,6 +27,11 @@
 plants: .venv/installed
 	cd tests && ../$(BIN)/python -m machines
 
+soak: .venv/installed
+	PYTHONPATH=platform $(BIN)/python -m soak --first 1 --seeds 50
+	PYTHONPATH=platform $(BIN)/python -m soak --first 0 --seeds 10
+	PYTHONPATH=platform $(BIN)/python -m soak.plants
+
 bench: .venv/installed
 	$(BIN)/python -m bench.cost
 	$(BIN)/python -m bench.cli
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,212 @@
+"""Judges a soak: what must hold whatever fails, from what callers and targets saw."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+
+from . import ledger
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run."""
+
+DRAIN_BOUND = 2.0
+"""Seconds after which a target that is leaving gets nothing new."""
+
+CONFIGURATION_BOUND = 2.0
+"""Seconds within which a version is in force."""
+
+TIME_BOUND = 0.5
+"""Seconds by which an answer may pass the time limit of its route."""
+
+CALM_BEFORE = 3.0
+"""Seconds without a fault that promises with a time bound ask for."""
+
+SLACK = 0.3
+"""Seconds for a busy machine on which all processes share eight cores."""
+
+PLANNED = frozenset({"stop", "reload", "store-link"})
+"""Faults of a VM that excuse no lost answer."""
+
+TIME_LIMIT = 1.5
+"""Time limit of all routes of the soak, in seconds."""
+
+RECOVERED_SHARE = 0.9
+"""Share of requests that are served once all faults are over. The targets fail none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Breach:
+    """A promise that did not hold."""
+
+    promise: str
+    """Name of the promise."""
+
+    what: str
+    """What was seen."""
+
+
+def judge(book: ledger.Ledger, calm_from: float) -> list[Breach]:
+    """Return all breaches; `calm_from` is when the last fault was over."""
+    checks = (
+        _check_once,
+        _check_unasked,
+        _check_answers,
+        _check_not_run,
+        _check_draining,
+        _check_versions,
+        _check_times,
+        _check_planned_stops,
+    )
+    found = [breach for check in checks for breach in check(book)]
+    return [*found, *_check_recovery(book, calm_from)]
+
+
+def _check_once(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    unsafe = {one.request_id for one in book.sent if one.is_unsafe}
+    counts = collections.Counter(one.request_id for one in book.ran)
+    for request_id, count in counts.items():
+        if request_id in unsafe and count > 1:
+            yield Breach("once", f"{request_id} ran {count} times")
+
+
+def _check_unasked(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    sent = {one.request_id: one for one in book.sent}
+    for ran in book.ran:
+        asked = sent.get(ran.request_id)
+        if asked is None:
+            yield Breach("unasked", f"{ran.request_id} ran and nobody sent it")
+        elif (asked.path, asked.body) != (ran.path, ran.body):
+            yield Breach("unasked", f"{ran.request_id} was changed on its way")
+
+
+def _check_answers(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    ran: dict[str, list[ledger.Ran]] = collections.defaultdict(list)
+    for one in book.ran:
+        ran[one.request_id].append(one)
+    for seen in book.seen.values():
+        statuses = {one.status for one in ran[seen.request_id]}
+        if 200 <= seen.status < 300:
+            if not seen.is_signed or seen.body != make_answer(seen.request_id):
+                yield Breach("whole", f"{seen.request_id}: not its target's answer")
+            if seen.status not in statuses:
+                yield Breach("whole", f"{seen.request_id}: succeeded without running")
+        elif seen.is_signed and seen.status not in statuses:
+            yield Breach("whole", f"{seen.request_id}: {seen.status} not the target's")
+
+
+def _check_not_run(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    unsafe = {one.request_id for one in book.sent if one.is_unsafe}
+    ran = {one.request_id for one in book.ran}
+    for seen in book.seen.values():
+        is_promised = seen.status in NOT_RUN and seen.request_id in unsafe
+        if is_promised and seen.request_id in ran:
+            yield Breach("not-run", f"{seen.request_id}: {seen.status}, and it ran")
+
+
+def _check_draining(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    left = {one.target_id: one.at for one in book.drained}
+    vms = {one.request_id: one.vm for one in book.sent}
+    for ran in book.ran:
+        at, vm = left.get(ran.target_id), vms.get(ran.request_id)
+        if at is None or vm is None:
+            continue
+        late = ran.at - _find_reachable(book, vm, at, ran.at)
+        if late > DRAIN_BOUND + SLACK:
+            yield Breach("draining", f"{ran.target_id} got work {late:.1f} s too late")
+
+
+def _check_versions(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """Judge by the route that each version leads elsewhere."""
+    sent = {one.request_id: one for one in book.sent}
+    for ran in book.ran:
+        asked = sent.get(ran.request_id)
+        if asked is None or not asked.path.startswith("/moving/"):
+            continue
+        due = [
+            one
+            for one in book.published
+            if asked.at - _find_reachable(book, asked.vm, one.at, asked.at)
+            > CONFIGURATION_BOUND + SLACK
+        ]
+        allowed = {one.moving_service for one in book.published[len(due[:-1]) :]}
+        if due and ran.service not in allowed:
+            yield Breach("version", f"{ran.request_id} ran by an old version")
+
+
+def _check_times(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    for sent in book.sent:
+        seen = book.seen.get(sent.request_id)
+        if seen is None or seen.has_left:
+            continue
+        took = seen.at - sent.at
+        limit = TIME_LIMIT + TIME_BOUND + SLACK
+        own = {_name(sent.vm)}
+        if took > limit and not _touches(book, own, sent.at - CALM_BEFORE, seen.at):
+            yield Breach("time", f"{sent.request_id} took {took:.1f} s")
+
+
+def _check_planned_stops(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """A request that ran gets an answer, also around a planned stop of its VM.
+
+    Only a VM that is killed or paused is excused. Whatever its target or the store
+    does, there is an answer to give.
+    """
+    ran = {one.request_id for one in book.ran}
+    unplanned = [one for one in book.disturbed if one.kind not in PLANNED]
+    for sent in book.sent:
+        seen = book.seen.get(sent.request_id)
+        if seen is None or seen.has_left or seen.status or sent.request_id not in ran:
+            continue
+        own = {_name(sent.vm)}
+        if not _touches(book, own, sent.at, seen.at, unplanned):
+            yield Breach("cut", f"{sent.request_id} ran, and its caller saw a close")
+
+
+def _check_recovery(
+    book: ledger.Ledger, calm_from: float
+) -> collections.abc.Iterator[Breach]:
+    sent = [one for one in book.sent if one.at >= calm_from + CALM_BEFORE]
+    ends = [book.seen.get(one.request_id) for one in sent]
+    served = sum(1 for one in ends if one is not None and one.status == 200)
+    asked = sum(1 for one in ends if one is None or not one.has_left)
+    if not sent or served < RECOVERED_SHARE * asked:
+        yield Breach("recovery", f"{served} of {asked} served after the last fault")
+
+
+def make_answer(request_id: str) -> bytes:
+    """Return the body with which a target answers a request."""
+    return (f"done {request_id} " * 20).encode()
+
+
+def _find_reachable(book: ledger.Ledger, vm: int, since: float, at: float) -> float:
+    """Return from when on, up to `at`, a VM could learn what the store knew `since`.
+
+    That is after the last fault of the store or the VM, and the time of calm after it.
+    """
+    touched = {"store", _name(vm)}
+    ends = [
+        min(one.end, at) + CALM_BEFORE
+        for one in book.disturbed
+        if one.touched in touched and one.begin <= at and one.end >= since - CALM_BEFORE
+    ]
+    return max([since, *ends])
+
+
+def _name(vm: int) -> str:
+    return f"vm-{vm}"
+
+
+def _touches(
+    book: ledger.Ledger,
+    touched: collections.abc.Collection[str],
+    begin: float,
+    end: float,
+    faults: collections.abc.Iterable[ledger.Disturbed] | None = None,
+) -> bool:
+    """Return whether a fault of one of these lay in a span of time."""
+    return any(
+        one.touched in touched and one.begin <= end and one.end >= begin
+        for one in (book.disturbed if faults is None else faults)
+    )
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,265 @@
+"""Plays one seed: starts a small site of real processes, and breaks it on plan."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import random
+import signal
+
+import anyio
+import anyio.abc
+
+from zinniastand_core.deployment import configuration
+from zinniastand_platform import words
+from zinniastand_proxy.edge import http_server
+from zinniastand_standins import topic_store, topic_store_app
+
+from . import callers, ledger, links, plan, promises, records, targets, vms
+
+VMS = 4
+TARGETS = {"desk": 4, "register": 3}
+CALLERS = 10
+LEAVE_AFTER = 4.0
+"""Seconds for which a draining target serves on."""
+
+RETURN_AFTER = 1.0
+"""Seconds after a fault for which what it broke may still show."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """How one seed went."""
+
+    seed: int
+    """The seed."""
+
+    steps: tuple[plan.Step, ...]
+    """What was done."""
+
+    sent: int
+    """Requests of callers."""
+
+    served: int
+    """Requests answered with success."""
+
+    breaches: tuple[promises.Breach, ...]
+    """Promises that did not hold."""
+
+
+class Soak:
+    """One run of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        Draws faults and requests.
+    folder : pathlib.Path
+        Where settings and logs go.
+    program : pathlib.Path
+        The script that starts a daemon.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path, program: pathlib.Path) -> None:
+        self._seed = seed
+        self._folder = folder
+        self._program = program
+        self._book = ledger.Ledger()
+        self._store = topic_store.TopicStore()
+        self._targets: list[targets.Target] = []
+        self._vms: list[vms.Vm] = []
+        self._target_numbers = 0
+        self._busy: set[int] = set()
+        self._calm_from = 0.0
+
+    async def run(self) -> Report:
+        """Play the seed and judge it."""
+        steps = plan.draw(self._seed)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await self._start_store()
+            for service, count in TARGETS.items():
+                for _ in range(count):
+                    await self._start_target(service)
+            self._publish()
+            await self._make_vms()
+            async with vms.ending(self._vms):
+                await self._play(steps)
+            group.cancel_scope.cancel()
+        breaches = promises.judge(self._book, self._calm_from)
+        served = sum(1 for one in self._book.seen.values() if one.status == 200)
+        return Report(self._seed, steps, len(self._book.sent), served, tuple(breaches))
+
+    async def _play(self, steps: tuple[plan.Step, ...]) -> None:
+        for vm in self._vms:
+            await vm.start()
+        for vm in self._vms:
+            await vm.wait_ready()
+        group = self._group
+        stop = anyio.Event()
+        load = callers.Callers(self._vms, self._book, random.Random(self._seed))
+        for vm in self._vms:
+            group.start_soon(vm.follow_readiness)
+        async with anyio.create_task_group() as clients:
+            for _ in range(CALLERS):
+                clients.start_soon(load.run_one, stop)
+            begin = anyio.current_time()
+            async with anyio.create_task_group() as faults:
+                for step in steps:
+                    await anyio.sleep_until(begin + step.at)
+                    faults.start_soon(self._do, step)
+            self._calm_from = anyio.current_time()
+            await anyio.sleep(plan.CALM_TIME)
+            stop.set()
+
+    async def _do(self, step: plan.Step) -> None:
+        begin = anyio.current_time()
+        touched = await self._act(step)
+        if step.act in (plan.Act.REPLACE, plan.Act.PUBLISH):
+            return  # Ordinary work of operators excuses nothing.
+        end = anyio.current_time() + RETURN_AFTER
+        self._book.disturbed.append(
+            ledger.Disturbed(step.act.value, touched, begin, end)
+        )
+
+    async def _act(self, step: plan.Step) -> str:
+        """Do one step until it is over; return what it touched."""
+        vm = self._vms[step.which % len(self._vms)]
+        target = self._targets[step.which % len(self._targets)]
+        match step.act:
+            case plan.Act.KILL | plan.Act.STOP | plan.Act.PAUSE | plan.Act.RELOAD:
+                await self._signal(step, vm)
+                return f"vm-{vm.number}"
+            case plan.Act.STORE:
+                self._store.fault = topic_store.Fault(step.how)
+                await anyio.sleep(step.for_s)
+                self._store.fault = topic_store.Fault.NONE
+            case plan.Act.FORGET:
+                self._store.forget(words.TARGETS_TOPIC)
+                self._store.forget(words.CONFIGURATION_TOPIC)
+            case plan.Act.STORE_LINK:
+                await _trouble(vm.store, step)
+                return f"vm-{vm.number}"
+            case plan.Act.TARGET:
+                target.fault = targets.Fault(step.how)
+                await anyio.sleep(step.for_s)
+                target.fault = targets.Fault.NONE
+                return target.target_id
+            case plan.Act.TARGET_LINK:
+                await _trouble(target.link, step)
+                return target.target_id
+            case plan.Act.REPLACE:
+                await self._replace(target)
+            case plan.Act.PUBLISH:
+                self._publish()
+        return "store"
+
+    async def _signal(self, step: plan.Step, vm: vms.Vm) -> None:
+        if vm.number in self._busy:
+            # A second signal to a process that is stopping or paused.
+            vm.send(signal.SIGHUP)
+            return
+        self._busy.add(vm.number)
+        try:
+            if step.act is plan.Act.RELOAD:
+                vm.send(signal.SIGHUP)
+            elif step.act is plan.Act.PAUSE:
+                vm.send(signal.SIGSTOP)
+                await anyio.sleep(step.for_s)
+                vm.send(signal.SIGCONT)
+            else:
+                is_kill = step.act is plan.Act.KILL
+                vm.send(signal.SIGKILL if is_kill else signal.SIGTERM)
+                if not await vm.wait_end(vms.GRACE):
+                    vm.send(signal.SIGKILL)
+                    await vm.wait_end(vms.GRACE)
+                await vm.restart()
+        finally:
+            self._busy.discard(vm.number)
+
+    async def _start_store(self) -> None:
+        app = topic_store_app.TopicStoreApp(self._store)
+        server = http_server.Server(app, configuration.Limits, _fail)
+        self._store_port = await self._group.start(server.serve, links.HOST, 0)
+
+    async def _make_vms(self) -> None:
+        for number in range(VMS):
+            link = links.Link(self._store_port)
+            await self._group.start(link.serve)
+            vm = vms.Vm(number, self._folder, self._program, link)
+            vm.write_settings()
+            self._vms.append(vm)
+
+    async def _start_target(self, service: str) -> None:
+        self._target_numbers += 1
+        target = targets.Target(f"t{self._target_numbers}", service, self._book)
+        server = http_server.Server(target, configuration.Limits, _fail)
+        port = await self._group.start(server.serve, links.HOST, 0)
+        target.link = links.Link(port)
+        await self._group.start(target.link.serve)
+        self._targets.append(target)
+        self._register(target, "ready")
+
+    def _register(self, target: targets.Target, state: str) -> None:
+        address = f"{links.HOST}:{target.link.port}"
+        value = records.encode_entry(target.service, address, targets.SLOTS, state)
+        self._store.put(words.TARGETS_TOPIC, target.target_id, value)
+
+    async def _replace(self, target: targets.Target) -> None:
+        if target.is_leaving:
+            return
+        target.is_leaving = True
+        await self._start_target(target.service)
+        self._register(target, "draining")
+        now = anyio.current_time()
+        self._book.drained.append(ledger.Drained(target.target_id, now))
+        self._targets.remove(target)
+        await anyio.sleep(LEAVE_AFTER)
+        self._store.put(words.TARGETS_TOPIC, target.target_id, b"")
+
+    def _publish(self) -> None:
+        version = len(self._book.published) + 1
+        moving = ("desk", "register")[version % 2]
+        routes = [
+            _make_route("/safe/", "safe", "desk"),
+            _make_route("/once/", "unsafe", "desk"),
+            _make_route("/other/", "unsafe", "register"),
+            _make_route("/moving/", "unsafe", moving),
+        ]
+        value = records.encode_configuration(version, routes)
+        self._store.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, value)
+        now = anyio.current_time()
+        self._book.published.append(ledger.Published(version, moving, now))
+
+
+def play(
+    seed: int, folder: pathlib.Path, program: pathlib.Path | None = None
+) -> Report:
+    """Play one seed and return how it went."""
+    folder.mkdir(parents=True, exist_ok=True)
+    soak = Soak(seed, folder, program or vms.find_default_program())
+    return anyio.run(soak.run)
+
+
+async def _trouble(link: links.Link, step: plan.Step) -> None:
+    await link.begin(links.Trouble(step.how))
+    await anyio.sleep(step.for_s)
+    link.end()
+
+
+def _make_route(prefix: str, kind: str, service: str) -> list[object]:
+    limit = int(promises.TIME_LIMIT * words.MILLISECONDS)
+    host = callers.HOST.decode()
+    return [prefix, host, prefix, kind, limit, 600, 1, service, 2]
+
+
+def _fail(error: BaseException) -> None:
+    """Let an unexpected error of a stand-in end the soak.
+
+    The store resets connections by an error of this kind, which is expected.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        _, others = error.split(anyio.BrokenResourceError)
+        if others is None:
+            return
+    raise error
--- /dev/null
+++ b/soak/targets.py
@@ -0,0 +1,93 @@
+"""Targets that keep a ledger of what they ran, and misbehave on demand."""
+
+from __future__ import annotations
+
+import enum
+
+import anyio
+
+from zinniastand_platform import words
+from zinniastand_proxy.edge import http_server
+
+from . import ledger, links, promises
+
+SLOTS = 4
+WORK = 0.04
+"""Seconds that a target works on a request."""
+
+SLOW_WORK = 0.6
+"""The same while it is slow."""
+
+FOREVER = 3600.0
+
+
+class Fault(enum.StrEnum):
+    """How a target treats requests."""
+
+    NONE = "none"
+    """It runs them."""
+
+    ERROR = "error"
+    """It runs them and answers with an error, at once."""
+
+    HANG = "hang"
+    """It runs them and never answers."""
+
+    SHED = "shed"
+    """It turns them away with proof that it has not run them."""
+
+    BARE = "bare"
+    """It runs them and says 503 without any proof."""
+
+    SLOW = "slow"
+    """It takes long."""
+
+    UNSIGNED = "unsigned"
+    """It answers without its signature."""
+
+
+class Target:
+    """One target behind a faulty link."""
+
+    def __init__(self, target_id: str, service: str, book: ledger.Ledger) -> None:
+        self.target_id = target_id
+        self.service = service
+        self.fault = Fault.NONE
+        self.link = links.Link(0)
+        self.is_leaving = False
+        self._book = book
+
+    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
+        """Run one request, or fail as the fault says."""
+        headers = dict(incoming.request.headers)
+        request_id = headers.get(words.HEADERS.request_id, b"").decode()
+        if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
+            return http_server.Reply(421, [], b"")
+        if self.fault is Fault.SHED:
+            return http_server.Reply(503, [(words.HEADERS.not_run, b"1")], b"")
+        status = {Fault.ERROR: 500, Fault.BARE: 503}.get(self.fault, 200)
+        ran = ledger.Ran(
+            request_id,
+            self.target_id,
+            self.service,
+            incoming.request.path.decode(),
+            incoming.request.body,
+            status,
+            anyio.current_time(),
+        )
+        self._book.ran.append(ran)
+        with anyio.CancelScope() as scope:
+            incoming.caller.watch(scope, lambda: True)
+            await anyio.sleep(self._find_time())
+        return self._answer(request_id, status)
+
+    def _find_time(self) -> float:
+        times = {Fault.HANG: FOREVER, Fault.SLOW: SLOW_WORK, Fault.ERROR: 0.0}
+        return times.get(self.fault, WORK)
+
+    def _answer(self, request_id: str, status: int) -> http_server.Reply:
+        headers = [(words.HEADERS.request_id, request_id.encode())]
+        if self.fault is not Fault.UNSIGNED:
+            headers.append((words.HEADERS.signature, b"signed"))
+        body = promises.make_answer(request_id) if status == 200 else b"failed"
+        return http_server.Reply(status, headers, body)
--- /dev/null
+++ b/tests/soak/test_short_soak.py
@@ -0,0 +1,120 @@
+"""The soak itself: a short seeded run, what it judges, and seeds that once failed."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from soak import ledger, plan, promises, run
+
+SHORT_SEEDS = (1, 2)
+"""Played in CI: together they hold most kinds of faults."""
+
+
+def make_book() -> ledger.Ledger:
+    """Return what a request without any trouble leaves behind."""
+    book = ledger.Ledger()
+    book.published.append(ledger.Published(1, "desk", 0.0))
+    book.sent.append(ledger.Sent("r1", 0, True, "/once/1", b"x", 10.0))
+    book.ran.append(ledger.Ran("r1", "t1", "desk", "/once/1", b"x", 200, 10.01))
+    answer = promises.make_answer("r1")
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 200, True, answer)
+    return book
+
+
+def name_breaches(book: ledger.Ledger) -> set[str]:
+    return {breach.promise for breach in promises.judge(book, 0.0)}
+
+
+@pytest.mark.parametrize("seed", SHORT_SEEDS)
+def test_every_promise_holds_for_a_seed(seed: int, tmp_path: pathlib.Path) -> None:
+    # Processes are killed, stopped and paused, links cut and silenced, targets fail
+    # and leave, the store misbehaves, all in series that overlap, and callers keep
+    # using open connections. None of it may double work or make an answer untrue.
+    report = run.play(seed, tmp_path)
+    assert report.breaches == ()
+    assert report.served > 0.5 * report.sent
+
+
+def test_plan_depends_on_its_seed_alone() -> None:
+    assert plan.draw(7) == plan.draw(7)
+    assert plan.draw(7) != plan.draw(8)
+    acts = {step.act for seed in range(50) for step in plan.draw(seed)}
+    assert acts == set(plan.Act)
+
+
+def test_nothing_wrong_is_no_breach() -> None:
+    assert name_breaches(make_book()) == set()
+
+
+def test_second_run_of_work_that_may_run_once_is_a_breach() -> None:
+    book = make_book()
+    book.ran.append(ledger.Ran("r1", "t2", "desk", "/once/1", b"x", 200, 10.02))
+    assert name_breaches(book) == {"once"}
+
+
+def test_changed_or_unsent_work_is_a_breach() -> None:
+    book = make_book()
+    book.ran.append(ledger.Ran("r9", "t1", "desk", "/once/1", b"x", 200, 10.0))
+    assert name_breaches(book) == {"unasked"}
+    changed = make_book()
+    changed.ran[0] = ledger.Ran("r1", "t1", "desk", "/once/1", b"y", 200, 10.0)
+    assert name_breaches(changed) == {"unasked"}
+
+
+def test_cut_or_foreign_answer_is_a_breach() -> None:
+    book = make_book()
+    cut = promises.make_answer("r1")[:-1]
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 200, True, cut)
+    assert "whole" in name_breaches(book)
+
+
+def test_false_promise_of_not_run_is_a_breach() -> None:
+    book = make_book()
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 503, False, b"")
+    assert "not-run" in name_breaches(book)
+
+
+def test_late_work_of_a_leaving_target_is_a_breach_only_in_calm() -> None:
+    # While the store was out of reach of the VM, it could not know.
+    book = make_book()
+    book.drained.append(ledger.Drained("t1", 7.0))
+    assert name_breaches(book) == {"draining"}
+    book.disturbed.append(ledger.Disturbed("store-link", "vm-0", 6.0, 9.0))
+    assert name_breaches(book) == set()
+    book.disturbed[0] = ledger.Disturbed("store-link", "vm-1", 6.0, 9.0)
+    assert name_breaches(book) == {"draining"}
+
+
+def test_run_by_an_old_version_is_a_breach() -> None:
+    book = make_book()
+    book.sent[0] = ledger.Sent("r1", 0, True, "/moving/1", b"x", 10.0)
+    book.ran[0] = ledger.Ran("r1", "t1", "desk", "/moving/1", b"x", 200, 10.01)
+    book.published.append(ledger.Published(2, "register", 7.0))
+    assert name_breaches(book) == {"version"}
+    book.published[-1] = ledger.Published(2, "register", 9.0)
+    assert name_breaches(book) == set()
+
+
+def test_answer_long_after_the_time_limit_is_a_breach() -> None:
+    book = make_book()
+    answer = promises.make_answer("r1")
+    book.seen["r1"] = ledger.Seen("r1", 13.0, 200, True, answer)
+    assert name_breaches(book) == {"time"}
+
+
+def test_close_instead_of_an_answer_is_a_breach_around_planned_stops() -> None:
+    book = make_book()
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 0, False, b"")
+    book.disturbed.append(ledger.Disturbed("stop", "vm-0", 9.0, 11.0))
+    assert "cut" in name_breaches(book)
+    book.disturbed.append(ledger.Disturbed("kill", "vm-0", 9.0, 11.0))
+    assert "cut" not in name_breaches(book)
+
+
+def test_no_service_after_the_last_fault_is_a_breach() -> None:
+    book = make_book()
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 503, False, b"")
+    book.ran.clear()
+    assert name_breaches(book) == {"recovery"}
