--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -16,7 +16,13 @@
 import typing
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import dispatcher, messages, retry_window, work_times
+from zinniastand_core.dispatch import (
+    dispatcher,
+    messages,
+    retry_window,
+    shards,
+    work_times,
+)
 
 SPREAD = 0.7
 """Standard deviation of the logarithm of times of work."""
@@ -24,8 +30,12 @@
 FAIL_TIME = 0.001
 """Seconds in which a failing target answers."""
 
+RETURN_SHARE = 1 / 3
+"""Share of the time left that a refused caller is willing to wait."""
+
 WAKE_PAUSE = 0.05
 SERVICE = "desk"
+SHARD = shards.Shard(SERVICE)
 Outcome = messages.Outcome
 
 
@@ -98,6 +108,9 @@
     lost_share: float = 0.0
     """Share of targets that are gone from the start."""
 
+    returns: int = 0
+    """Times that a refused caller comes back when told, while time is left."""
+
     kinds: tuple[Kind, ...] = KINDS
     """Kinds of requests."""
 
@@ -203,6 +216,7 @@
         self.kind = kind
         self.at = now
         self.attempt = 1
+        self.returns = 0
         self.excluded: tuple[str, ...] = ()
 
 
@@ -307,12 +321,12 @@
         self._schedule(now + self._rng.expovariate(self._load.rate), self._arrive)
 
     def _ask(self, request: _Request, now: float) -> None:
-        ticket = f"{request.number}/{request.attempt}"
+        ticket = f"{request.number}/{request.attempt}/{request.returns}"
         self._open[ticket] = request
         kind = request.kind
         ask = messages.Ask(
             ticket,
-            SERVICE,
+            SHARD,
             kind.name,
             request.attempt < kind.attempts,
             kind.priority,
@@ -331,6 +345,8 @@
                     self._send(decision, now)
                 case messages.Refuse():
                     request = self._open.pop(decision.ticket)
+                    if self._come_back(request, decision.retry_at, now):
+                        continue
                     self._counts["refused"] += 1
                     waited = now - request.at
                     self._counts["refused_late"] += waited > request.kind.objective / 8
@@ -338,6 +354,17 @@
                 case messages.Wait():
                     pass
 
+    def _come_back(self, request: _Request, retry_at: float, now: float) -> bool:
+        """Let a refused caller return, if it still may; return whether it does."""
+        left = request.at + request.kind.deadline - now
+        if request.returns >= self._load.returns or request.attempt > 1:
+            return False
+        if retry_at - now > RETURN_SHARE * left:
+            return False
+        request.returns += 1
+        self._schedule(retry_at, lambda at: self._ask(request, at))
+        return True
+
     def _send(self, grant: messages.Grant, now: float) -> None:
         """Let a target work: at once, or after those that came before."""
         request = self._open[grant.ticket]
@@ -368,7 +395,7 @@
         request = self._open.pop(grant.ticket)
         outcome = Outcome.FAILED if failed else Outcome.GOOD
         report = messages.Report(
-            grant.ticket, SERVICE, grant.target_id, outcome, now - started, "vm"
+            grant.ticket, SHARD, grant.target_id, outcome, now - started, "vm"
         )
         decisions = self._policy.report(report, now)
         kind = request.kind
--- a/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -96,6 +96,10 @@
         """Return all entries, draining ones included."""
         return list(self._entries.values())
 
+    def find(self, target_id: str) -> Entry | None:
+        """Return the entry of a target, leaving or not."""
+        return self._entries.get(target_id)
+
     def find_usable(self, target_id: str) -> Entry | None:
         """Return the entry of a target, if it may get new work."""
         entry = self._entries.get(target_id)
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -1,9 +1,9 @@
-"""Places the requests of one service: who goes where, who waits, who is refused.
+"""Places the requests of one shard: who goes where, who waits, who is refused.
 
-One VM does this for a whole service, since 36 VMs that share 18 slots and each see a
+One VM does this for a whole shard, since 36 VMs that share 18 slots and each see a
 few requests a second can neither count slots in use nor tell a failing target. Every
 VM can do it: the one that does is only a matter of rank, and a VM that reaches nobody
-places its own requests by the same rules. Two dispatchers of one service therefore
+places its own requests by the same rules. Two dispatchers of one shard therefore
 cost some efficiency, never a promise: slots may be given twice, and targets turn away
 what they cannot take.
 
@@ -55,6 +55,13 @@
 LEAST_MEAN = 0.001
 """Least seconds that a kind of work is taken to last, as a divisor."""
 
+LEAST_WORK = 0.5
+"""Times the mean time of work below which a waiting request is refused before its
+deadline: hardly any work ends sooner, and its caller may still come back in time."""
+
+LEAST_SLOTS = 0.5
+"""Slots that a shard without any proven one counts for, as a divisor."""
+
 SLOW_AFTER = 2.5
 """Times the expected time after which work under way tells that its target is slow."""
 
@@ -80,7 +87,7 @@
 
 
 class Dispatcher:
-    """The dispatcher of one service.
+    """The dispatcher of one shard.
 
     Parameters
     ----------
@@ -127,12 +134,10 @@
         """Take in a request; an ask that came before gets its first answer again."""
         granted = self._grants.get(ask.ticket)
         if granted is not None:
-            return [_repeat(granted)]
+            return [self._repeat(granted, now)]
         if any(one.ticket == ask.ticket for one in self._queue):
             return [messages.Wait(ask.ticket)]
-        if ask.attempt == 1:
-            self._retries.add_first(now)
-        elif not self._retries.spend(now):
+        if ask.attempt > 1 and not self._retries.spend(now):
             return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
@@ -144,6 +149,9 @@
             self._standing_at = None
         if wait > 0 and not self._may_wait(ask, wait, now):
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
+        if ask.attempt == 1:
+            # One that is refused here may be placed, and counted, in another shard.
+            self._retries.add_first(now)
         bisect.insort(self._queue, waiting)
         decisions = self._serve_queue(now)
         if any(one.ticket == ask.ticket for one in decisions):
@@ -199,7 +207,8 @@
             ask = waiting.ask
             group = (ask.kind, ask.may_retry)
             decision: messages.Decision | None = None
-            if now >= ask.deadline_at:
+            least = LEAST_WORK * self._kinds.find_mean(ask.kind)
+            if now + least >= ask.deadline_at:
                 decision = self._refuse(ask, messages.RefusalReason.TOO_LATE, now)
             elif has_free and (group not in without or ask.excluded):
                 decision = self._place(ask, now)
@@ -223,7 +232,11 @@
             state.note_trial(now)
         granted = self._start(ask, state, now)
         return messages.Grant(
-            ask.ticket, offer.target_id, offer.doubt, granted.expected
+            ask.ticket,
+            offer.target_id,
+            offer.doubt,
+            granted.expected,
+            self._find_pressure(now),
         )
 
     def _is_better_late(self, ask: messages.Ask, offer: pool.Offer, now: float) -> bool:
@@ -325,11 +338,27 @@
         work = sum(self._kinds.find_mean(one.ask.kind) for one in self._queue)
         pause = max(RETURN_PAUSE, work / capacity)
         return messages.Refuse(
-            ask.ticket, reason, now + pause * (1 + self._rng.random())
+            ask.ticket,
+            reason,
+            now + pause * (1 + self._rng.random()),
+            self._find_pressure(now),
         )
 
+    def _find_pressure(self, now: float) -> float:
+        """Return the requests here for each slot of a target that is little in doubt.
+
+        One request more is counted, so that a shard without any proven slot does not
+        look idle.
+        """
+        slots = self.pool.count_proved_slots(now)
+        return (len(self._grants) + len(self._queue) + 1) / max(LEAST_SLOTS, slots)
 
-def _repeat(granted: _Grant) -> messages.Grant:
-    """Return a grant again, since its first telling may have been lost."""
-    ask = granted.ask
-    return messages.Grant(ask.ticket, granted.target_id, 0.0, granted.expected)
+    def _repeat(self, granted: _Grant, now: float) -> messages.Grant:
+        """Return a grant again, since its first telling may have been lost."""
+        return messages.Grant(
+            granted.ask.ticket,
+            granted.target_id,
+            0.0,
+            granted.expected,
+            self._find_pressure(now),
+        )
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from . import shards
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
@@ -13,8 +15,8 @@
     ticket: str
     """Unique name of this ask over the fleet; an ask sent again has the same."""
 
-    service: str
-    """Service that shall do the work."""
+    shard: shards.Shard
+    """Targets that may do the work."""
 
     kind: str
     """Name under which times of work are learned; requests of a kind are alike."""
@@ -58,6 +60,9 @@
     expected: float
     """Seconds that the work is expected to take there."""
 
+    pressure: float = shards.USUAL_PRESSURE
+    """How full the shard is; 1 is a request for each proven slot."""
+
 
 class RefusalReason(enum.StrEnum):
     """Why an ask got no target."""
@@ -88,6 +93,9 @@
     retry_at: float
     """When it makes sense to come back."""
 
+    pressure: float = shards.USUAL_PRESSURE
+    """How full the shard is; 1 is a request for each proven slot."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
@@ -132,8 +140,8 @@
     ticket: str
     """The ask that was granted."""
 
-    service: str
-    """Its service."""
+    shard: shards.Shard
+    """Its shard."""
 
     target_id: str
     """The target."""
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -1,4 +1,4 @@
-"""The targets of one service as their dispatcher sees them, and what each would cost.
+"""The targets of one shard as their dispatcher sees them, and what each would cost.
 
 The price of a target for a request is what is expected to be lost by choosing it, in
 units of one failed request: the chance that it fails, the chance that it answers late,
@@ -207,7 +207,7 @@
 
 
 class Pool:
-    """The targets of one service.
+    """The targets of one shard.
 
     Parameters
     ----------
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -32,6 +32,11 @@
         self._firsts: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
+    def use(self, ratio: float, span: float) -> None:
+        """Use other bounds from now on."""
+        self._ratio = ratio
+        self._span = span
+
     def add_first(self, now: float) -> None:
         """Count a request."""
         self._firsts.append(now)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -13,7 +13,7 @@
 import cbor2
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages
+from zinniastand_core.dispatch import messages, shards
 
 from . import ports
 
@@ -56,6 +56,9 @@
     changes: tuple[targets.Change, ...]
     """Changes of targets from there on."""
 
+    is_relayed: bool = False
+    """Whether the receiver shall pass it on to the VMs of its data centre."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionNotice:
@@ -86,8 +89,8 @@
 class Opinions:
     """What a dispatcher thinks of its targets, for the VM that would follow it."""
 
-    service: str
-    """The service."""
+    shard: shards.Shard
+    """The shard."""
 
     items: tuple[Opinion, ...]
     """One for each target that there is something to say of."""
@@ -118,6 +121,9 @@
     """The slot."""
 
 
+REPORT_FIELDS = ("ticket", "target_id", "outcome", "took", "vm")
+"""Fields of a report as they follow its shard."""
+
 Message = (
     Hello
     | Leaving
@@ -171,12 +177,13 @@
         case News():
             changes = [_pack_change(one, now) for one in message.changes]
             head = [message.vm, message.version, message.position, message.since]
-            return ["n", *head, changes]
+            return ["n", *head, changes, message.is_relayed]
         case VersionNotice():
             return ["v", message.vm, message.version]
         case Opinions():
             items = [list(dataclasses.astuple(one)) for one in message.items]
-            return ["o", message.service, items, [list(one) for one in message.times]]
+            times = [list(one) for one in message.times]
+            return ["o", *_pack_shard(message.shard), items, times]
         case Asked():
             return ["a", message.vm, *_pack_ask(message.ask, now)]
         case Adopted():
@@ -186,11 +193,13 @@
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
             left = message.retry_at - now
-            return ["r", message.ticket, message.reason.value, left]
+            reason = message.reason.value
+            return ["r", message.ticket, reason, left, round(message.pressure, 2)]
         case messages.Wait():
             return ["w", message.ticket]
         case messages.Report():
-            return ["e", *dataclasses.astuple(message)]
+            fields = [getattr(message, name) for name in REPORT_FIELDS]
+            return ["e", *_pack_shard(message.shard), *fields]
 
 
 def _unpack(fields: list, now: float) -> Message:
@@ -202,26 +211,30 @@
             return Leaving(rest[0])
         case "n":
             changes = tuple(_unpack_change(one, now) for one in rest[4])
-            return News(rest[0], rest[1], rest[2], rest[3], changes)
+            vm, version, position, since = rest[:4]
+            return News(vm, version, position, since, changes, bool(rest[5]))
         case "v":
             return VersionNotice(rest[0], rest[1])
         case "o":
-            items = tuple(Opinion(*one) for one in rest[1])
-            return Opinions(rest[0], items, tuple((name, s) for name, s in rest[2]))
+            items = tuple(Opinion(*one) for one in rest[4])
+            times = tuple((name, seconds) for name, seconds in rest[5])
+            return Opinions(shards.Shard(*rest[:4]), items, times)
         case "a":
             return Asked(rest[0], _unpack_ask(rest[1:], now))
         case "g":
             return messages.Grant(*rest)
         case "r":
+            ticket, reason, left, pressure = rest
             return messages.Refuse(
-                rest[0], messages.RefusalReason(rest[1]), now + rest[2]
+                ticket, messages.RefusalReason(reason), now + left, pressure
             )
         case "w":
             return messages.Wait(rest[0])
         case "e":
-            ticket, service, target_id, outcome, took, vm = rest
+            ticket, target_id, outcome, took, vm = rest[4:]
+            shard = shards.Shard(*rest[:4])
             return messages.Report(
-                ticket, service, target_id, messages.Outcome(outcome), took, vm
+                ticket, shard, target_id, messages.Outcome(outcome), took, vm
             )
         case "k":
             held = messages.Held(_unpack_ask(rest[2:], now), rest[1])
@@ -230,10 +243,14 @@
             raise UnreadableError(f"unknown kind {kind!r:.20}")
 
 
+def _pack_shard(shard: shards.Shard) -> list[object]:
+    return [shard.service, shard.data_centre, shard.index, shard.count]
+
+
 def _pack_ask(ask: messages.Ask, now: float) -> list[object]:
     return [
+        *_pack_shard(ask.shard),
         ask.ticket,
-        ask.service,
         ask.kind,
         ask.may_retry,
         ask.priority,
@@ -246,11 +263,11 @@
 
 
 def _unpack_ask(fields: list, now: float) -> messages.Ask:
-    ticket, service, kind, may_retry, priority, objective, deadline = fields[:7]
-    attempt, data_centre, excluded = fields[7:]
+    ticket, kind, may_retry, priority, objective, deadline = fields[4:10]
+    attempt, data_centre, excluded = fields[10:]
     return messages.Ask(
         ticket,
-        service,
+        shards.Shard(*fields[:4]),
         kind,
         may_retry,
         priority,
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -1,7 +1,12 @@
-"""The dispatchers that this VM runs, for itself and for those who ask it."""
+"""The dispatchers that this VM runs, for itself and for those who ask it.
+
+There is one for each shard that somebody asks about here. What other dispatchers think
+of targets is kept beside them, so that a new one does not begin without knowledge.
+"""
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import dataclasses
 import random
@@ -9,20 +14,34 @@
 import anyio
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import dispatcher, messages, retry_window, work_times
+from zinniastand_core.dispatch import (
+    dispatcher,
+    messages,
+    retry_window,
+    shards,
+    work_times,
+)
 
 from . import datagrams, members
 
 Deliver = collections.abc.Callable[[str, messages.Decision], None]
 
 SHARE_OF_SLACK = 0.4
-"""Share of the slack of retries that one dispatcher gives out. While VMs disagree who
-dispatches, two may do so; their sum stays below the whole."""
+"""Share of the slack of retries that the dispatchers of a service give out. While VMs
+disagree who dispatches, two may do so; their sum stays below the whole."""
 
 ALONE_AFTER = 10.0
 """Seconds after the last ask of another VM from which a dispatcher counts as one that
 decides for its own VM alone."""
 
+KEEP_IDLE = 30.0
+"""Seconds after which a dispatcher that nobody asks is dropped: longer than retries are
+counted, so that dropping one gives no new ones."""
+
+KEEP_OPINIONS = 5.0
+"""Seconds for which the opinions of another dispatcher are used. Targets change in
+seconds; older ones tell no more than what is usual."""
+
 KEEP_ASKER = 60.0
 """Seconds after which the asker of a ticket is forgotten; longer than any deadline."""
 
@@ -42,7 +61,7 @@
 
 
 class Desk:
-    """Dispatchers of all services that were asked about here.
+    """Dispatchers of all shards that were asked about here.
 
     Parameters
     ----------
@@ -71,42 +90,65 @@
         self._budget = budget
         self._rng = rng
         self._deliver = deliver
-        self._dispatchers: dict[str, dispatcher.Dispatcher] = {}
+        self._dispatchers: dict[shards.Shard, dispatcher.Dispatcher] = {}
+        self._windows: dict[shards.Shard, retry_window.RetryWindow] = {}
+        self._used_at: dict[shards.Shard, float] = {}
         self._times: dict[str, work_times.KindTimes] = {}
         self._askers: dict[str, tuple[str, float]] = {}
-        self._alone_at: dict[str, float] = {}
-
-    @property
-    def services(self) -> list[str]:
-        """Services that have a dispatcher here."""
-        return list(self._dispatchers)
-
-    def find(self, service: str) -> dispatcher.Dispatcher | None:
-        """Return the dispatcher of a service, if there is one here."""
-        return self._dispatchers.get(service)
+        self._alone_at: dict[shards.Shard, float] = {}
+        self._heard: dict[str, tuple[datagrams.Opinion, float]] = {}
+        self._divisions: dict[str, tuple[shards.Shard, ...]] = {}
+
+    def list_busy(self) -> list[shards.Shard]:
+        """Return the shards that have slots in use by a dispatcher here."""
+        return [shard for shard, one in self._dispatchers.items() if one.in_flight]
+
+    def list_shards(self, service: str) -> tuple[shards.Shard, ...]:
+        """Return the shards into which a service is divided now."""
+        return self._divisions.get(service) or (shards.Shard(service),)
+
+    def covers(self, shard: shards.Shard, target_id: str) -> bool:
+        """Return whether a target of the service belongs to a shard of it."""
+        if shard.is_whole:
+            return True
+        entry = self._registry.find(target_id)
+        return entry is not None and shard.covers(entry)
+
+    def use_budget(self, budget: RetryBudget) -> None:
+        """Give out retries by this budget from now on."""
+        self._budget = budget
+        for window in self._windows.values():
+            window.use(budget.ratio, budget.window)
 
     def ask(self, vm: str, ask: messages.Ask, now: float) -> None:
         """Take in an ask of a VM; decisions go out through `deliver`."""
         self._askers[ask.ticket] = (vm, now + KEEP_ASKER)
         if vm != self._fleet.own.vm:
-            self._alone_at[ask.service] = now + ALONE_AFTER
-        self._send(self._open(ask.service, now).ask(ask, now))
+            self._alone_at[ask.shard] = now + ALONE_AFTER
+        self._used_at[ask.shard] = now
+        self._send(self._open(ask.shard, now).ask(ask, now))
 
     def report(self, report: messages.Report, now: float) -> None:
         """Take in how an attempt went."""
         self._askers.pop(report.ticket, None)
-        self._send(self._open(report.service, now).report(report, now))
+        self._send(self._open(report.shard, now).report(report, now))
 
     def adopt(self, vm: str, held: messages.Held, now: float) -> None:
         """Take over a slot that another dispatcher gave to a VM."""
         self._askers[held.ask.ticket] = (vm, now + KEEP_ASKER)
-        self._open(held.ask.service, now).adopt(held, now)
+        self._open(held.ask.shard, now).adopt(held, now)
 
     def update_targets(self, now: float) -> None:
         """Use the targets that the registry knows now."""
-        for service, known in self._dispatchers.items():
-            entries = self._registry.list_usable(service, now)
-            self._send(known.update_targets(entries, now))
+        by_service: dict[str, list[targets.Entry]] = collections.defaultdict(list)
+        for entry in self._registry.list_entries():
+            by_service[entry.service].append(entry)
+        self._divisions = {
+            service: shards.divide(service, entries)
+            for service, entries in by_service.items()
+        }
+        for shard, known in self._dispatchers.items():
+            self._send(known.update_targets(self._list_targets(shard, now), now))
 
     def wake(self, now: float) -> None:
         """Act on the time."""
@@ -114,10 +156,15 @@
             self._send(known.wake(now))
         for ticket in [one for one, (_, at) in self._askers.items() if at <= now]:
             del self._askers[ticket]
-
-    def summarize(self, service: str, now: float) -> datagrams.Opinions:
-        """Return what the dispatcher of a service thinks of its targets."""
-        known = self._dispatchers.get(service)
+        for shard, known in list(self._dispatchers.items()):
+            is_idle = not known.in_flight and not known.queue_length
+            if is_idle and self._used_at.get(shard, now) < now - KEEP_IDLE:
+                del self._dispatchers[shard]
+                del self._windows[shard]
+
+    def summarize(self, shard: shards.Shard, now: float) -> datagrams.Opinions:
+        """Return what the dispatcher of a shard thinks of its targets."""
+        known = self._dispatchers.get(shard)
         states = known.pool.list_states() if known is not None else []
         items = tuple(
             datagrams.Opinion(
@@ -127,43 +174,71 @@
             )
             for state in states
         )
-        times = self._times.get(service)
+        times = self._times.get(shard.service)
         means = tuple(times.means.items()) if times is not None else ()
-        return datagrams.Opinions(service, items, means)
+        return datagrams.Opinions(shard, items, means)
 
     def take_opinions(self, opinions: datagrams.Opinions, now: float) -> None:
-        """Take over what another dispatcher thinks."""
-        known = self._open(opinions.service, now)
+        """Take in what another dispatcher thinks.
+
+        One that is at work here knows better by what it sees itself.
+        """
+        shard = opinions.shard
         for one in opinions.items:
-            state = known.pool.find(one.target_id)
-            if state is not None:
-                state.set_opinion(one.failing, one.slowness, now)
+            self._heard[one.target_id] = (one, now)
+        known = self._dispatchers.get(shard)
+        if known is not None and known.in_flight:
+            return
+        times = self._times.setdefault(shard.service, work_times.KindTimes())
         for kind, seconds in opinions.times:
-            self._times[opinions.service].set(kind, seconds)
+            times.set(kind, seconds)
+        if known is not None:
+            self._tell_heard(known, now)
 
-    def _open(self, service: str, now: float) -> dispatcher.Dispatcher:
-        known = self._dispatchers.get(service)
+    def _open(self, shard: shards.Shard, now: float) -> dispatcher.Dispatcher:
+        known = self._dispatchers.get(shard)
         if known is None:
-            times = self._times[service] = work_times.KindTimes()
+            times = self._times.setdefault(shard.service, work_times.KindTimes())
             window = retry_window.RetryWindow(
                 self._budget.ratio,
-                lambda: self._find_slack(service),
+                lambda: self._find_slack(shard),
                 self._budget.window,
             )
             known = dispatcher.Dispatcher(times, window, self._rng)
-            self._dispatchers[service] = known
-            known.update_targets(self._registry.list_usable(service, now), now)
+            self._dispatchers[shard] = known
+            self._windows[shard] = window
+            self._used_at[shard] = now
+            known.update_targets(self._list_targets(shard, now), now)
+            self._tell_heard(known, now)
         return known
 
-    def _find_slack(self, service: str) -> float:
+    def _list_targets(self, shard: shards.Shard, now: float) -> list[targets.Entry]:
+        usable = self._registry.list_usable(shard.service, now)
+        return [entry for entry in usable if shard.covers(entry)]
+
+    def _tell_heard(self, known: dispatcher.Dispatcher, now: float) -> None:
+        """Let a dispatcher begin with what others thought of its targets."""
+        self._heard = {
+            name: (one, at)
+            for name, (one, at) in self._heard.items()
+            if at > now - KEEP_OPINIONS
+        }
+        for state in known.pool.list_states():
+            heard = self._heard.get(state.entry.target_id)
+            if heard is not None:
+                state.set_opinion(heard[0].failing, heard[0].slowness, heard[1])
+
+    def _find_slack(self, shard: shards.Shard) -> float:
         """Return the retries that this dispatcher may give out beyond the share.
 
         VMs that reach no common dispatcher each decide alone. With the whole slack
         for each, a fleet of them would go beyond it many times over.
         """
-        if self._alone_at.get(service, 0.0) > anyio.current_time():
-            return SHARE_OF_SLACK * self._budget.slack
-        return SHARE_OF_SLACK * self._budget.slack / self._fleet.count()
+        count = len(self.list_shards(shard.service))
+        own_part = SHARE_OF_SLACK * self._budget.slack / count
+        if self._alone_at.get(shard, 0.0) > anyio.current_time():
+            return own_part
+        return own_part / self._fleet.count()
 
     def _send(self, decisions: list[messages.Decision]) -> None:
         for decision in decisions:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import itertools
 import random
 import signal
@@ -46,6 +47,10 @@
 its requests by itself; it then knows what was failing a second before. Targets fail for
 some ten seconds."""
 
+MOST_TOLD = 40
+"""VMs that are told at most, so that what a fleet tells grows with its size and not
+with the square of it. The others begin with what is usual."""
+
 SUCCESSORS = 2
 """VMs that are told what a dispatcher thinks."""
 
@@ -64,6 +69,12 @@
 MOST_TRACE = 2_000
 """Characters of a traceback that go into the log: its end names the place."""
 
+SETTINGS_PAUSE = 1.0
+"""Seconds between two looks whether the settings have changed without a signal."""
+
+CHANGEABLE = frozenset({"retries", "stop_limit", "unready_after"})
+"""Settings that a running process can change."""
+
 INCARNATION_SCALE = 1000
 """Incarnations are milliseconds of unix time."""
 
@@ -83,6 +94,8 @@
         Where decisions are noted.
     rng : random.Random
         Source of randomness.
+    settings_file : edge_settings.SettingsFile, optional
+        Where the settings are read anew; without it they stay as they are.
     """
 
     def __init__(
@@ -92,8 +105,10 @@
         words: vocabulary.Vocabulary,
         log: log_lines.LogLines,
         rng: random.Random,
+        settings_file: edge_settings.SettingsFile | None = None,
     ) -> None:
         self._settings = settings
+        self._settings_file = settings_file
         self._store = store
         self._words = words
         self._log = log
@@ -119,12 +134,29 @@
         return self._fleet.rank(service, anyio.current_time(), 1)[0]
 
     def reload(self) -> None:
-        """Note that the settings changed.
+        """Read the settings anew and use what can change in a running process.
 
-        What the settings hold is fixed while a process runs: addresses, and the bounds
-        of the deployment. The next start reads them anew.
+        That is the bounds of retries and of a stop. Names and addresses are those of
+        the listeners and of the record that other VMs know, and wait for the next
+        start. Settings with findings are refused whole: the former ones stay in force.
         """
-        self._log.write("reload", changed=False)
+        if self._settings_file is None:
+            return
+        loaded = self._settings_file.load()
+        if loaded.is_error():
+            why = str(loaded.error)[:MOST_TRACE]
+            self._log.write("reload", outcome="refused", why=why)
+            return
+        fresh = loaded.ok
+        changed = [
+            field.name
+            for field in dataclasses.fields(fresh)
+            if getattr(fresh, field.name) != getattr(self._settings, field.name)
+        ]
+        self._settings = fresh
+        self._desk.use_budget(fresh.retries)
+        waiting = [name for name in changed if name not in CHANGEABLE]
+        self._log.write("reload", outcome="in force", changed=changed, waiting=waiting)
 
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -152,6 +184,7 @@
             group.start_soon(self._greet)
             group.start_soon(self._close_idle)
             group.start_soon(self._log.run)
+            group.start_soon(self._follow_settings)
             task_status.started()
             await self._stop_wanted.wait()
             await self._stop()
@@ -182,7 +215,7 @@
         self._desk = desk.Desk(
             self._fleet, self._registry, settings.retries, self._rng, self._deliver
         )
-        self._placement = placement.Placement(self._fleet, self._link, log)
+        self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_desk(self._desk)
         self._client = target_client.TargetClient(self._words)
         self._keeper = knowledge_keeper.KnowledgeKeeper(
@@ -260,7 +293,7 @@
             case datagrams.VersionNotice():
                 self._keeper.take_version(message.vm, message.version)
             case datagrams.Opinions():
-                self._take_opinions(message, now)
+                self._desk.take_opinions(message, now)
             case datagrams.Asked():
                 self._fleet.note_heard(message.vm, now)
                 self._desk.ask(message.vm, message.ask, now)
@@ -279,12 +312,6 @@
             reply = datagrams.Hello(self._fleet.own, wants_answer=False)
             self._link.send(reply, hello.member)
 
-    def _take_opinions(self, opinions: datagrams.Opinions, now: float) -> None:
-        """Take over what another dispatcher thinks, unless this one is at work."""
-        known = self._desk.find(opinions.service)
-        if known is None or not known.in_flight:
-            self._desk.take_opinions(opinions, now)
-
     async def _wake_desk(self) -> None:
         while True:
             await anyio.sleep(WAKE_PAUSE)
@@ -301,15 +328,13 @@
     def _tell_opinions_now(self, to_all: bool) -> None:
         now = anyio.current_time()
         own = self._fleet.own.vm
-        for service in self._desk.services:
-            known = self._desk.find(service)
-            if known is None or not known.in_flight:
-                continue
-            ranked = [vm for vm in self._fleet.rank_heard(service, now) if vm != own]
-            told = ranked if to_all else ranked[:SUCCESSORS]
+        for shard in self._desk.list_busy():
+            heard = self._fleet.rank_heard(shard.task, now, shard.data_centre)
+            ranked = [vm for vm in heard if vm != own]
+            told = ranked[: MOST_TOLD if to_all else SUCCESSORS]
             successors = [self._fleet.find(vm) for vm in told]
             self._link.send_many(
-                self._desk.summarize(service, now),
+                self._desk.summarize(shard, now),
                 [member for member in successors if member is not None],
             )
 
@@ -320,6 +345,12 @@
             silent = self._fleet.list_suspects(anyio.current_time())
             self._link.send_many(hello, silent)
 
+    async def _follow_settings(self) -> None:
+        while True:
+            await anyio.sleep(SETTINGS_PAUSE)
+            if self._settings_file is not None and self._settings_file.has_changed():
+                self.reload()
+
     async def _close_idle(self) -> None:
         while True:
             await anyio.sleep(IDLE_PAUSE)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -61,6 +61,39 @@
     """Retries that a service may get."""
 
 
+class SettingsFile:
+    """A settings file that may change while its process runs.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        Where it is.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._seen = self._look()
+
+    def has_changed(self) -> bool:
+        """Return whether the file is another one than at the last look.
+
+        Parsing it every second would cost more than forwarding does on a calm day.
+        """
+        before, self._seen = self._seen, self._look()
+        return self._seen != before
+
+    def load(self) -> expression.Result[Settings, findings.Findings]:
+        """Return the settings in it, or every finding."""
+        return load(self._path)
+
+    def _look(self) -> tuple[int, int, int]:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return (0, 0, 0)  # It is being replaced; the next look finds it.
+        return (status.st_mtime_ns, status.st_size, status.st_ino)
+
+
 def load(path: pathlib.Path) -> expression.Result[Settings, findings.Findings]:
     """Return the settings in a file, or every finding in it."""
     try:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -9,7 +9,7 @@
 import anyio
 
 from zinniastand_core.deployment import configuration, routing, targets
-from zinniastand_core.dispatch import messages
+from zinniastand_core.dispatch import messages, shards
 from zinniastand_core.forwarding import plan
 
 from .. import metrics
@@ -187,6 +187,20 @@
         self._tools.metrics.record("zinniastand_answer_seconds", took)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Place:
+    """A slot of a target that this request holds."""
+
+    ask: messages.Ask
+    """What was asked."""
+
+    grant: messages.Grant
+    """The slot."""
+
+    waited: float
+    """Seconds until it was granted."""
+
+
 class _Run:
     """The run of one request."""
 
@@ -210,6 +224,7 @@
         self._plan = plan.Plan(route, plan.Times(objective, limit))
         self._service = tools.knowledge.router.choose_service(route)
         self._answer: http_exchange.Answer | None = None
+        self._next: _Place | None = None
         self._retry_at: float | None = None
         self._why = ""
 
@@ -217,9 +232,12 @@
         """Return the one answer, by the deadline."""
         with anyio.CancelScope(deadline=self._plan.times.deadline_at) as scope:
             self._incoming.caller.watch(scope, self._may_cancel)
-            step = plan.Step.TRY_AGAIN
-            while step is plan.Step.TRY_AGAIN:
-                step = await self._try_once()
+            try:
+                step = plan.Step.TRY_AGAIN
+                while step is plan.Step.TRY_AGAIN:
+                    step = await self._try_once()
+            finally:
+                self._release(self._next)
             return self._finish(step)
         if not self._incoming.caller.has_left:
             self._why = "deadline"
@@ -234,32 +252,41 @@
         return self._plan.is_idempotent or not self._plan.may_have_run
 
     async def _try_once(self) -> plan.Step:
-        ask = self._make_ask()
-        asked_at = anyio.current_time()
-        answer = await self._tools.placement.acquire(ask)
-        waited = anyio.current_time() - asked_at
-        if isinstance(answer, messages.Refuse):
-            self._why = answer.reason.value
-            self._retry_at = answer.retry_at
+        place = self._next or await self._acquire()
+        self._next = None
+        if place is None:
             return self._plan.give_up()
         registry = self._tools.knowledge.registry
-        target = registry.find_usable(answer.target_id)
+        target = registry.find_usable(place.grant.target_id)
         if target is None:
             # The dispatcher knows a target that this VM does not know yet, or has not
             # heard that this one is leaving. A dispatcher that is cut off from the
             # store would otherwise make every VM send work to targets that leave.
-            self._report(ask, answer.target_id, messages.Outcome.ABANDONED, 0.0)
-            self._plan.start_attempt(answer.target_id)
-            return self._plan.end_attempt(plan.Result.UNREACHABLE, asked_at)
-        return await self._attempt(ask, answer, target, waited)
+            self._release(place)
+            self._plan.start_attempt(place.grant.target_id)
+            now = anyio.current_time()
+            return self._plan.end_attempt(plan.Result.UNREACHABLE, now)
+        return await self._attempt(place, target)
 
-    async def _attempt(
-        self,
-        ask: messages.Ask,
-        grant: messages.Grant,
-        target: targets.Entry,
-        waited: float,
-    ) -> plan.Step:
+    async def _acquire(self) -> _Place | None:
+        """Return a slot, or None where the dispatcher refuses."""
+        ask = self._make_ask()
+        asked_at = anyio.current_time()
+        answer = await self._tools.placement.acquire(ask)
+        if isinstance(answer, messages.Grant):
+            return _Place(ask, answer, anyio.current_time() - asked_at)
+        self._why = answer.reason.value
+        self._retry_at = answer.retry_at
+        return None
+
+    def _release(self, place: _Place | None) -> None:
+        """Give back a slot that is not used after all."""
+        if place is not None:
+            target_id = place.grant.target_id
+            self._report(place.ask, target_id, messages.Outcome.ABANDONED, 0.0)
+
+    async def _attempt(self, place: _Place, target: targets.Entry) -> plan.Step:
+        ask, grant = place.ask, place.grant
         self._plan.start_attempt(target.target_id)
         started = anyio.current_time()
         outcome = messages.Outcome.ABANDONED
@@ -271,7 +298,7 @@
             if outcome is messages.Outcome.ABANDONED and now >= ask.deadline_at:
                 outcome = messages.Outcome.SILENT
             self._report(ask, target.target_id, outcome, now - started)
-            self._log_attempt(target, grant, outcome, waited, now - started)
+            self._log_attempt(target, place, outcome, now - started)
         if attempt.result is plan.Result.UNREACHABLE:
             self._forwarder.note_unreachable(target.target_id, now)
         if attempt.answer is not None:
@@ -284,15 +311,48 @@
     ) -> target_client.Attempt:
         left = self._plan.times.deadline_at - now
         request = self._make_request(target, left)
-        work = self._route.work
         overdue = max(LEAST_OVERDUE, OVERDUE_FACTOR * grant.expected)
         may_be_overdue = (
             self._plan.may_retry_next and left - overdue > OVERDUE_LEFT * grant.expected
         )
-        with anyio.move_on_after(overdue if may_be_overdue else None):
-            return await self._tools.client.attempt(
-                target, request, work, self._plan.mark_sent
-            )
+        if may_be_overdue:
+            return await self._send_until_overdue(target, request, overdue)
+        return await self._send_plainly(target, request)
+
+    async def _send_plainly(
+        self, target: targets.Entry, request: http_exchange.Request
+    ) -> target_client.Attempt:
+        return await self._tools.client.attempt(
+            target, request, self._route.work, self._plan.mark_sent
+        )
+
+    async def _send_until_overdue(
+        self, target: targets.Entry, request: http_exchange.Request, overdue: float
+    ) -> target_client.Attempt:
+        """Send, and break off overdue work once another target has a slot for it.
+
+        Breaking it off before would leave the request with nothing where no other
+        slot is to be had: its caller got 502 while the target was still at work, and
+        half of such work would have ended in time.
+        """
+        ended: target_client.Attempt | None = None
+        place: _Place | None = None
+        async with anyio.create_task_group() as group:
+
+            async def _send() -> None:
+                nonlocal ended
+                ended = await self._send_plainly(target, request)
+                group.cancel_scope.cancel()
+
+            group.start_soon(_send)
+            await anyio.sleep(overdue)
+            place = await self._acquire()
+            if place is not None:
+                group.cancel_scope.cancel()
+        if ended is not None:
+            self._release(place)
+            return ended
+        self._next = place
         return target_client.Attempt(plan.Result.SILENT, None, "overdue")
 
     def _make_ask(self) -> messages.Ask:
@@ -301,7 +361,7 @@
         excluded = {*self._plan.excluded, *forwarder.list_unreachable(now)}
         return messages.Ask(
             ticket=forwarder.make_ticket(),
-            service=self._service,
+            shard=shards.Shard(self._service),
             kind=self._route.name,
             may_retry=self._plan.may_retry_next,
             priority=self._route.priority,
@@ -341,7 +401,7 @@
     ) -> None:
         self._tools.placement.report(
             messages.Report(
-                ask.ticket, ask.service, target_id, outcome, took, self._forwarder.vm
+                ask.ticket, ask.shard, target_id, outcome, took, self._forwarder.vm
             )
         )
 
@@ -367,11 +427,11 @@
     def _log_attempt(
         self,
         target: targets.Entry,
-        grant: messages.Grant,
+        place: _Place,
         outcome: messages.Outcome,
-        waited: float,
         took: float,
     ) -> None:
+        grant = place.grant
         self._tools.log.write(
             "attempt",
             request=self._request_id,
@@ -379,7 +439,7 @@
             target=target.target_id,
             doubt=round(grant.doubt, 3),
             expected_ms=round(grant.expected * MILLISECONDS),
-            waited_ms=round(waited * MILLISECONDS, 1),
+            waited_ms=round(place.waited * MILLISECONDS, 1),
             outcome=outcome.value,
             ms=round(took * MILLISECONDS),
         )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -30,6 +30,16 @@
 FIELD_BYTES = 4
 """Bytes of a header field beside its name and value: a colon, a space, an end."""
 
+MOST_HELD_BYTES = 32 << 20
+"""Bytes of request bodies that are held at a time. A body is kept until its request is
+answered, since it may have to be sent again; without a bound on their sum, many long
+bodies at once would exceed the memory of the VM, and its end would cut off everybody.
+The smallest VMs have 200 MB, of which an idle process takes 35."""
+
+RETURN_PAUSE = b"0.5"
+"""Seconds after which a caller may come back whose body found no room: the time in
+which most requests are answered."""
+
 MOST_CONNECTIONS = 2_500
 """Connections of callers at a time. Each takes a descriptor, and so does each attempt
 at a target; together they stay below the descriptors of the smallest VMs."""
@@ -122,6 +132,7 @@
         self._idle: set[_Connection] = set()
         self._open = 0
         self.in_flight = 0
+        self.held_bytes = 0
         self.is_stopping = False
 
     async def serve(
@@ -176,9 +187,12 @@
 class _BadRequestError(Exception):
     """The request is refused for its form."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(
+        self, status: int, headers: http_exchange.Headers | None = None
+    ) -> None:
         super().__init__(status)
         self.status = status
+        self.headers = headers or []
 
 
 class _Connection:
@@ -201,15 +215,23 @@
         )
         self._limits = limits
         self._first_byte_at: float | None = None
+        self._held_bytes = 0
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
+        try:
+            await self._serve_all()
+        finally:
+            self._release_body()
+
+    async def _serve_all(self) -> None:
         while True:
             self._limits = self._read_limits()
             try:
                 incoming = await self._read_request()
             except _BadRequestError as error:
-                await self._send(Reply(error.status, [], b""), must_close=True)
+                reply = Reply(error.status, error.headers, b"")
+                await self._send(reply, must_close=True)
                 await anyio.sleep(LINGER)
                 return
             if incoming is None:
@@ -219,6 +241,7 @@
                 is_open = await self._answer(incoming)
             finally:
                 self._server.in_flight -= 1
+                self._release_body()
             if not is_open or self._engine.our_state is not h11.DONE:
                 return
             if self._engine.their_state is not h11.DONE:
@@ -317,6 +340,7 @@
                 case h11.Data():
                     parts.append(bytes(event.data))
                     size += len(event.data)
+                    self._hold_body(len(event.data))
                     if size > self._limits.max_body_bytes:
                         raise _BadRequestError(413)
                 case h11.EndOfMessage():
@@ -324,6 +348,17 @@
                 case _:
                     await self._receive_body()
 
+    def _hold_body(self, size: int) -> None:
+        """Count bytes of a body; refuse the request where there is no room."""
+        self._held_bytes += size
+        self._server.held_bytes += size
+        if self._server.held_bytes > MOST_HELD_BYTES:
+            raise _BadRequestError(503, [(b"retry-after", RETURN_PAUSE)])
+
+    def _release_body(self) -> None:
+        self._server.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+
     async def _receive_body(self) -> None:
         if self._engine.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -10,6 +10,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import random
 
 import anyio
@@ -63,6 +64,25 @@
 REPEAT_FOR = 2.0
 """Seconds for which changes are told again, since datagrams may be lost."""
 
+RELAYS = 2
+"""VMs of another data centre that pass news on there, in turn: one telling goes to the
+one, the next to the other. Without them the reader would send each piece of news to
+every VM: with 123 VMs and a full day of troubles 0.34 GB went between data centres,
+most of it news and opinions. Where one of the two is dead, the others hear every second
+telling, which is still within their patience."""
+
+RELAY_TASK = "relay news"
+"""Name of the task of passing news on."""
+
+TOLD_OF_VERSION = 4
+"""VMs, drawn at random, that a VM tells of a new version. It is for those whose own
+wait has gone silent: one of 123 hears of it with 98%, and news tell the version too."""
+
+VERSION_PAUSE = 0.3
+"""Least seconds between two waits for a configuration: while versions come in quick
+succession, each VM fetches some of them and not all. It stays far below the 2 s within
+which a version must be in force."""
+
 CONFIGURATION_WAIT = 25.0
 """Seconds that one read of the configuration waits at the store. Each costs a call; a
 wait on a connection that has gone silent is noticed only at its end, or by a peer."""
@@ -132,6 +152,8 @@
         self._lost: set[str] = set()
         self._wait_scope: anyio.CancelScope | None = None
         self._peer_versions: dict[str, tuple[int, float]] = {}
+        self._tellings = 0
+        self._told_at = 0.0
 
     @property
     def is_complete(self) -> bool:
@@ -151,6 +173,9 @@
     def take_news(self, news: datagrams.News) -> None:
         """Take in what another VM has read."""
         now = anyio.current_time()
+        if news.is_relayed:
+            passed = dataclasses.replace(news, is_relayed=False)
+            self._link.send_many(passed, self._fleet.list_in(self._own_place))
         self.take_version(news.vm, news.version)
         if self._position < 0 or news.since > self._position:
             return  # Something between is missing: read it from the store.
@@ -188,6 +213,7 @@
             position = page.position
             if page.newest is not None:
                 self.use(page.newest, STORE)
+                await anyio.sleep(VERSION_PAUSE)
             elif self._knowledge.configured.current is None:
                 await anyio.sleep(FIRST_PAUSE)
 
@@ -216,10 +242,12 @@
         )
 
     def _tell_version(self) -> None:
-        """Tell the others of a new version, in case their own wait has gone silent."""
+        """Tell some others of a new version, in case their wait has gone silent."""
         version = self._knowledge.configured.version
         notice = datagrams.VersionNotice(self._fleet.own.vm, version)
-        self._link.send_many(notice, self._fleet.list_others())
+        others = self._fleet.list_others()
+        drawn = self._rng.sample(others, min(TOLD_OF_VERSION, len(others)))
+        self._link.send_many(notice, drawn)
 
     async def _follow_peers(self) -> None:
         """Fetch a configuration that peers have and the store does not tell."""
@@ -260,7 +288,7 @@
             self._note_back("targets")
             pause = FIRST_PAUSE
             self._heard_at = self._read_at = anyio.current_time()
-            if has_news:
+            if has_news or self._is_telling_due(self._heard_at):
                 self._tell()
             await anyio.sleep(READ_PAUSE)
 
@@ -271,11 +299,19 @@
         reader that has lost the store would miss a target's leaving.
         """
         while True:
-            await anyio.sleep(TELL_PAUSE)
+            await anyio.sleep(CHECK_PAUSE)
             now = anyio.current_time()
-            if self._rank(now) == 0 and now - self._read_at < STALE_AFTER:
+            if self._is_telling_due(now) and now - self._read_at < STALE_AFTER:
                 self._tell()
 
+    def _is_telling_due(self, now: float) -> bool:
+        """Return whether it is this VM that tells, and its last telling is long ago.
+
+        A VM that has just become the reader tells at once, before all others who miss
+        the former one read for themselves.
+        """
+        return self._rank(now) == 0 and now - self._told_at >= TELL_PAUSE
+
     def _is_reading_due(self, now: float) -> bool:
         rank = self._rank(now)
         if rank == 0:
@@ -340,22 +376,37 @@
             self._on_targets()
 
     def _tell(self) -> None:
-        now = anyio.current_time()
+        now = self._told_at = anyio.current_time()
         self._reads.append((now, self._position))
         while self._reads[0][0] < now - REPEAT_FOR:
             self._reads.popleft()
         while self._recent and self._recent[0][0] < self._reads[0][0]:
             self._recent.popleft()
-        self._link.send_many(
-            datagrams.News(
-                self._fleet.own.vm,
-                self._knowledge.configured.version,
-                self._position,
-                self._reads[0][1],
-                tuple(change for _, change in self._recent),
-            ),
-            self._fleet.list_others(),
+        news = datagrams.News(
+            self._fleet.own.vm,
+            self._knowledge.configured.version,
+            self._position,
+            self._reads[0][1],
+            tuple(change for _, change in self._recent),
         )
+        self._link.send_many(news, self._fleet.list_in(self._own_place))
+        relayed = dataclasses.replace(news, is_relayed=True)
+        self._link.send_many(relayed, self._choose_relays(now))
+
+    def _choose_relays(self, now: float) -> list[ports.Member]:
+        """Return one VM of each other data centre, another one every time."""
+        self._tellings += 1
+        relays: list[ports.Member] = []
+        for place in self._fleet.data_centres - {self._own_place}:
+            ranked = self._fleet.rank(RELAY_TASK, now, RELAYS, place)
+            member = self._fleet.find(ranked[self._tellings % len(ranked)])
+            if member is not None and member.data_centre == place:
+                relays.append(member)
+        return relays
+
+    @property
+    def _own_place(self) -> str:
+        return self._fleet.own.data_centre
 
     # Members
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -36,7 +36,7 @@
         self._known: dict[str, ports.Member] = {own.vm: own}
         self._heard_since: dict[str, float] = {own.vm: now}
         self._suspect_until: dict[str, float] = {}
-        self._ranks: dict[str, list[str]] = {}
+        self._ranks: dict[tuple[str, str], list[str]] = {}
 
     def add(self, member: ports.Member) -> bool:
         """Take in an entry; return whether the VM or its incarnation is new."""
@@ -93,20 +93,65 @@
             or one.vm not in self._heard_since
         ]
 
-    def rank_heard(self, task: str, now: float) -> list[str]:
-        """Return all VMs heard from, those that rank highest for a task first."""
-        order = self._ranks.get(task)
-        if order is None:
-            order = rendezvous.pick(task, self._known, len(self._known))
-            self._ranks[task] = order
-        return [vm for vm in order if self._is_heard(vm, now)]
-
-    def rank(self, task: str, now: float, count: int) -> list[str]:
-        """Return the VMs that should do a task, best first."""
-        heard = self.rank_heard(task, now)
-        settled = [vm for vm in heard if now - self._heard_since[vm] >= SETTLE_TIME]
+    def rank_heard(self, task: str, now: float, data_centre: str = "") -> list[str]:
+        """Return all VMs heard from, those that rank highest for a task first.
+
+        With a data centre, only the VMs there, and all others where none is there.
+        """
+        heard = [vm for vm in self._order(task, "") if self._is_heard(vm, now)]
+        near = [vm for vm in heard if self._known[vm].data_centre == data_centre]
+        return near or heard
+
+    def rank(
+        self, task: str, now: float, count: int, data_centre: str = ""
+    ) -> list[str]:
+        """Return the VMs that should do a task, best first.
+
+        Asked for each request: it stops at the first few instead of looking at all.
+        With a data centre, VMs there are taken where any is heard from.
+        """
+        if data_centre:
+            near = self._rank(self._order(task, data_centre), now, count)
+            if near:
+                return near
+        return self._rank(self._order(task, ""), now, count)
+
+    def list_in(self, data_centre: str) -> list[ports.Member]:
+        """Return the other VMs of a data centre, suspects included."""
+        return [one for one in self.list_others() if one.data_centre == data_centre]
+
+    @property
+    def data_centres(self) -> set[str]:
+        """Data centres with a VM."""
+        return {one.data_centre for one in self._known.values()}
+
+    def _rank(self, order: list[str], now: float, count: int) -> list[str]:
+        heard: list[str] = []
+        settled: list[str] = []
+        for vm in order:
+            if not self._is_heard(vm, now):
+                continue
+            if len(heard) < count:
+                heard.append(vm)
+            if now - self._heard_since[vm] >= SETTLE_TIME:
+                settled.append(vm)
+                if len(settled) == count:
+                    break
         # At the first start nobody has been there for long.
-        return (settled or heard)[:count]
+        return settled or heard
+
+    def _order(self, task: str, data_centre: str) -> list[str]:
+        """Return the VMs of a data centre, or all, by their rank for a task."""
+        order = self._ranks.get((task, data_centre))
+        if order is None:
+            names = [
+                vm
+                for vm, member in self._known.items()
+                if data_centre in ("", member.data_centre)
+            ]
+            order = rendezvous.pick(task, names, len(names))
+            self._ranks[task, data_centre] = order
+        return order
 
     def _is_heard(self, vm: str, now: float) -> bool:
         return vm in self._heard_since and self._suspect_until.get(vm, 0.0) <= now
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -1,4 +1,4 @@
-"""Gets a request its target: from the service's dispatcher, or here if none answers.
+"""Gets a request its target: from a shard's dispatcher, or here if none answers.
 
 Whoever holds a request asks the highest-ranking VM, then the next, then decides by
 itself. An ask is named by its ticket and may be sent again at any time. A dispatcher
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+import dataclasses
+import random
+
 import anyio
 
-from zinniastand_core.dispatch import messages
+from zinniastand_core.dispatch import messages, shards
 
 from . import datagrams, desk, log_lines, members, peer_link
 
@@ -24,6 +27,16 @@
 CANDIDATES = 2
 """VMs that are asked before a VM decides by itself."""
 
+MOST_SHARDS = 2
+"""Shards of a service in which a request asks for a place. The second one costs a round
+trip of a millisecond, and helps where the first is full by chance; where two are full,
+so are the others."""
+
+ELSEWHERE = frozenset(
+    {messages.RefusalReason.OVERLOADED, messages.RefusalReason.NO_TARGET}
+)
+"""Refusals after which another shard may have a place."""
+
 Answer = messages.Grant | messages.Refuse
 
 
@@ -55,6 +68,8 @@
         Datagrams to them.
     log : log_lines.LogLines
         Where lost and regained dispatchers are noted.
+    rng : random.Random
+        Draws shards.
     """
 
     def __init__(
@@ -62,27 +77,48 @@
         fleet: members.Members,
         link: peer_link.PeerLink,
         log: log_lines.LogLines,
+        rng: random.Random,
     ) -> None:
         self._fleet = fleet
+        self._chooser = shards.Chooser(fleet.own.data_centre, rng)
         self._link = link
         self._log = log
         self._desk: desk.Desk | None = None
         self._pending: dict[str, _Pending] = {}
         self._held: dict[str, messages.Held] = {}
         self._granters: dict[str, str] = {}
-        self._dispatcher_of: dict[str, str] = {}
+        self._dispatcher_of: dict[shards.Shard, str] = {}
 
     def use_desk(self, own: desk.Desk) -> None:
         """Decide by these dispatchers where no other VM answers."""
         self._desk = own
 
     async def acquire(self, ask: messages.Ask) -> Answer:
-        """Return a target, or why there is none."""
+        """Return a target, or why there is none.
+
+        The ask names a service as a whole; it is placed in one of its shards.
+        """
+        service = ask.shard.service
+        refused: list[shards.Shard] = []
+        answer: Answer = _refuse_late(ask)
+        while len(refused) < MOST_SHARDS:
+            now = anyio.current_time()
+            shard = self._chooser.choose(self._list_shards(service), now, refused)
+            if shard is None:
+                break
+            answer = await self._acquire_in(dataclasses.replace(ask, shard=shard))
+            self._chooser.note(shard, answer.pressure, anyio.current_time())
+            if isinstance(answer, messages.Grant) or answer.reason not in ELSEWHERE:
+                break
+            refused.append(shard)
+        return answer
+
+    async def _acquire_in(self, ask: messages.Ask) -> Answer:
         pending = self._pending[ask.ticket] = _Pending()
         asked = self._fleet.own.vm
         answer: Answer | None = None
         try:
-            for vm in self._list_candidates(ask.service):
+            for vm in self._list_candidates(ask.shard):
                 asked = vm
                 answer = await self._ask(vm, ask, pending)
                 if answer is not None:
@@ -98,7 +134,9 @@
 
     def report(self, report: messages.Report) -> None:
         """Tell whoever granted the slot how the attempt went."""
-        self._held.pop(report.ticket, None)
+        held = self._held.pop(report.ticket, None)
+        if held is not None:
+            report = dataclasses.replace(report, shard=held.ask.shard)
         self._tell(self._granters.pop(report.ticket, self._fleet.own.vm), report)
 
     def take_decision(self, decision: messages.Decision) -> None:
@@ -107,9 +145,14 @@
         if pending is not None:
             pending.take(decision)
 
-    def _list_candidates(self, service: str) -> list[str]:
+    def _list_shards(self, service: str) -> tuple[shards.Shard, ...]:
+        if self._desk is None:
+            return (shards.Shard(service),)
+        return self._desk.list_shards(service)
+
+    def _list_candidates(self, shard: shards.Shard) -> list[str]:
         now = anyio.current_time()
-        ranked = self._fleet.rank(service, now, CANDIDATES)
+        ranked = self._fleet.rank(shard.task, now, CANDIDATES, shard.data_centre)
         own = self._fleet.own.vm
         if own in ranked:
             ranked = ranked[: ranked.index(own)]
@@ -119,7 +162,7 @@
         self, vm: str, ask: messages.Ask, pending: _Pending
     ) -> Answer | None:
         """Return one VM's answer, or None where it gives none."""
-        self._hand_over(ask.service, vm)
+        self._hand_over(ask.shard, vm)
         pending.is_heard = False
         misses = 0
         while misses < len(ANSWER_TIMES):
@@ -151,15 +194,22 @@
         if member is not None:
             self._link.send(datagrams.Asked(own, ask), member)
 
-    def _hand_over(self, service: str, vm: str) -> None:
-        """Tell a VM that dispatches from now on which slots are in use here."""
-        if self._dispatcher_of.get(service) == vm:
+    def _hand_over(self, shard: shards.Shard, vm: str) -> None:
+        """Tell a VM that dispatches from now on which slots are in use here.
+
+        They may have been given in another shard, if the service was divided anew.
+        """
+        if self._dispatcher_of.get(shard) == vm:
             return
-        self._dispatcher_of[service] = vm
-        for held in self._held.values():
-            if held.ask.service == service:
-                self._granters[held.ask.ticket] = vm
-                self._tell(vm, datagrams.Adopted(self._fleet.own.vm, held))
+        self._dispatcher_of[shard] = vm
+        for ticket, held in list(self._held.items()):
+            if held.ask.shard.service != shard.service:
+                continue
+            if self._desk is not None and self._desk.covers(shard, held.target_id):
+                ask = dataclasses.replace(held.ask, shard=shard)
+                moved = self._held[ticket] = dataclasses.replace(held, ask=ask)
+                self._granters[ticket] = vm
+                self._tell(vm, datagrams.Adopted(self._fleet.own.vm, moved))
 
     def _take(self, ask: messages.Ask, vm: str, answer: Answer) -> Answer:
         if isinstance(answer, messages.Grant):
@@ -171,7 +221,7 @@
         """Give back what an ask may get after nobody waits for it any more."""
         report = messages.Report(
             ask.ticket,
-            ask.service,
+            ask.shard,
             "",
             messages.Outcome.ABANDONED,
             0.0,
@@ -194,7 +244,7 @@
     def _note_silent(self, vm: str, ask: messages.Ask) -> None:
         self._withdraw(vm, ask)
         if self._fleet.suspect(vm, anyio.current_time()):
-            self._log.write("dispatcher_lost", peer=vm, service=ask.service)
+            self._log.write("dispatcher_lost", peer=vm, shard=ask.shard.task)
 
 
 def _refuse_late(ask: messages.Ask) -> messages.Refuse:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -8,7 +8,13 @@
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import dispatcher, messages, retry_window, work_times
+from zinniastand_core.dispatch import (
+    dispatcher,
+    messages,
+    retry_window,
+    shards,
+    work_times,
+)
 
 Outcome = messages.Outcome
 
@@ -40,7 +46,7 @@
 def make_ask(ticket: str, now: float = 0.0, **changes: object) -> messages.Ask:
     ask = messages.Ask(
         ticket=ticket,
-        service="desk",
+        shard=shards.Shard("desk"),
         kind="write",
         may_retry=False,
         priority=1,
@@ -60,7 +66,7 @@
     now: float,
     vm: str = "vm-1",
 ) -> list[messages.Decision]:
-    told = messages.Report(ticket, "desk", target, outcome, 0.2, vm)
+    told = messages.Report(ticket, shards.Shard("desk"), target, outcome, 0.2, vm)
     return one.report(told, now)
 
 
@@ -165,7 +171,9 @@
         ask = make_ask(f"{n}", n * 0.3)
         target = grant_of(one.ask(ask, n * 0.3), f"{n}").target_id
         took = 1.5 if target == "a" else 0.2
-        told = messages.Report(f"{n}", "desk", target, Outcome.GOOD, took, "vm-1")
+        told = messages.Report(
+            f"{n}", shards.Shard("desk"), target, Outcome.GOOD, took, "vm-1"
+        )
         one.report(told, n * 0.3 + 0.2)
     grant = grant_of(one.ask(make_ask("x", 6.0), 6.0), "x")
     assert grant.target_id == "b"
@@ -252,7 +260,9 @@
     one = make_dispatcher("a", slots=3)
     for n in range(6):
         one.ask(make_ask(f"{n}", kind=f"new-{n}"), 0.0)
-        told = messages.Report(f"{n}", "desk", "a", Outcome.GOOD, 0.002, "vm-1")
+        told = messages.Report(
+            f"{n}", shards.Shard("desk"), "a", Outcome.GOOD, 0.002, "vm-1"
+        )
         one.report(told, 0.0)
     grant = grant_of(one.ask(make_ask("x"), 0.0), "x")
     assert grant.expected == pytest.approx(work_times.FIRST_GUESS)
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -7,10 +7,11 @@
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages
+from zinniastand_core.dispatch import messages, shards
 from zinniastand_proxy.edge import datagrams, ports
 
-ASK = messages.Ask("vm:1:2", "desk", "r", True, 1, 0.5, 1.5, 2, "a", ("t1", "t2"))
+SHARD = shards.Shard("desk", "a", 1, 4)
+ASK = messages.Ask("vm:1:2", SHARD, "r", True, 1, 0.5, 1.5, 2, "a", ("t1", "t2"))
 ENTRY = targets.Entry(
     "t1", "desk", "10.0.0.1", 80, "a", 3, targets.Phase.DRAINING, 7, 4.0, 12
 )
@@ -20,13 +21,13 @@
     datagrams.Leaving("vm-1"),
     datagrams.News("vm-1", 4, 20, 10, (ENTRY, targets.Gone("t2", 13))),
     datagrams.VersionNotice("vm-1", 5),
-    datagrams.Opinions("desk", (datagrams.Opinion("t1", 0.2, 1.5),), (("r", 0.2),)),
+    datagrams.Opinions(SHARD, (datagrams.Opinion("t1", 0.2, 1.5),), (("r", 0.2),)),
     datagrams.Asked("vm-1", ASK),
     datagrams.Adopted("vm-1", messages.Held(ASK, "t1")),
     messages.Grant("vm:1:2", "t1", 0.1, 0.2),
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
-    messages.Report("vm:1:2", "desk", "t1", messages.Outcome.SHED, 0.1, "vm-1"),
+    messages.Report("vm:1:2", SHARD, "t1", messages.Outcome.SHED, 0.1, "vm-1"),
 ]
 
 
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -9,15 +9,15 @@
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages
-from zinniastand_proxy.edge import desk, members, ports
+from zinniastand_core.dispatch import messages, shards
+from zinniastand_proxy.edge import datagrams, desk, members, ports
 
 pytestmark = pytest.mark.anyio
 
-ASK = messages.Ask("t", "desk", "r", True, 1, 0.0, 0.0, 2, "a")
+ASK = messages.Ask("t", shards.Shard("desk"), "r", True, 1, 0.0, 0.0, 2, "a")
 
 
-def make_desk(vms: int) -> tuple[desk.Desk, list[messages.Decision]]:
+def make_desk(vms: int, count: int = 1) -> tuple[desk.Desk, list[messages.Decision]]:
     now = anyio.current_time()
     fleet = members.Members(ports.Member("own", "a", "127.0.0.1", 1, 1), now)
     for n in range(vms - 1):
@@ -26,7 +26,11 @@
     entry = targets.Entry(
         "t1", "desk", "127.0.0.1", 1, "a", 1000, targets.Phase.READY, 1, 0.0, 1
     )
-    registry.apply([entry], now)
+    entries = [
+        dataclasses.replace(entry, target_id=f"t{n}", position=n)
+        for n in range(1, count + 1)
+    ]
+    registry.apply(entries, now)
     decisions: list[messages.Decision] = []
     made = desk.Desk(
         fleet,
@@ -60,3 +64,39 @@
     # Two VMs may take themselves for the dispatcher for a while.
     made, decisions = make_desk(vms=20)
     assert 10 < count_retries(made, decisions, "vm-1") <= 25
+
+
+async def test_shards_share_the_slack_of_their_service() -> None:
+    # A service in four shards has four dispatchers. With the slack of the service for
+    # each, retries would be four times what its targets may get.
+    made, decisions = make_desk(vms=20, count=100)
+    now = anyio.current_time()
+    made.update_targets(now)
+    divided = made.list_shards("desk")
+    assert len(divided) == 4
+    for shard in divided:
+        for n in range(100):
+            ask = dataclasses.replace(
+                ASK,
+                ticket=f"{shard.index}/{n}",
+                shard=shard,
+                objective_at=now + 1,
+                deadline_at=now + 2,
+            )
+            made.ask("vm-1", ask, now)
+    granted = sum(isinstance(one, messages.Grant) for one in decisions)
+    assert 10 < granted <= 25
+
+
+async def test_new_dispatcher_begins_with_what_others_thought() -> None:
+    # A dispatcher is lost. The next one would take all targets for alike, and send
+    # work that may run only once to those that were failing a moment ago.
+    made, _ = make_desk(vms=3)
+    now = anyio.current_time()
+    opinion = datagrams.Opinion("t1", 0.9, 3.0)
+    made.take_opinions(datagrams.Opinions(shards.Shard("desk"), (opinion,), ()), now)
+    ask = dataclasses.replace(ASK, objective_at=now + 1, deadline_at=now + 2)
+    made.ask("vm-1", ask, now)
+    [told] = made.summarize(shards.Shard("desk"), now).items
+    assert told.failing > 0.8
+    assert told.slowness > 2.5
--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import anyio
 import edge_site
 import httpx
 import pytest
 
+from soak import records
+
 pytestmark = pytest.mark.anyio
 
 
@@ -167,9 +171,7 @@
         # Only the first VM's own read gets through.
         site.publish([edge_site.make_route("/new/")])
         current = edge_site.store.decoding.decode_configuration(
-            edge_site.encode_configuration(
-                site.version, [edge_site.make_route("/new/")]
-            )
+            records.encode_configuration(site.version, [edge_site.make_route("/new/")])
         )
         first.daemon.use_configuration(current)
         await anyio.sleep(1.0)
@@ -251,3 +253,36 @@
             answer = await client.get(f"http://{address.host}:{address.port}/metrics")
         assert 'zinniastand_answers_total{status="200",why="200"} 1' in answer.text
         assert "zinniastand_answer_seconds_count 1" in answer.text
+
+
+async def test_settings_that_change_without_a_signal_come_into_force(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Operators lower the bound of retries, and nobody sends a signal. The process
+    # would keep the old bound until its next start.
+    path = tmp_path / "settings.json"
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        text = path.read_text()
+        path.write_text(text.replace('"stop_limit_s": 6.0', '"stop_limit_s": 3.5'))
+        await edge_site.wait_until(
+            lambda: any(
+                line["event"] == "reload" and line["changed"] == ["stop_limit"]
+                for line in vm.read_log()
+            )
+        )
+
+
+async def test_settings_with_findings_are_refused_whole(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "settings.json"
+    async with edge_site.run_site() as site:
+        vm = await site.start_vm("vm-1", path)
+        path.write_text('{"vm": 7}')
+        vm.daemon.reload()
+        [line] = [one for one in vm.read_log() if one["event"] == "reload"]
+        assert line["outcome"] == "refused"
+        assert "data_centre" in str(line["why"])
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -176,3 +176,36 @@
             await running.server.close_idle()
             assert (await busy.receive()).endswith(b"x")
             assert await read_all(idle, 0.2) == b""
+
+
+async def test_bodies_are_bounded_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Many callers send long bodies while targets are slow. Each body is within its
+    # limit, and together they exceed the VM's memory: the process is killed, and
+    # everybody's request with it. The one too many is refused as not run instead.
+    monkeypatch.setattr(http_server, "MOST_HELD_BYTES", 3000)
+    async with run_server() as running:
+        running.echo.delay = 0.3
+        answers: list[bytes] = []
+
+        async def send() -> None:
+            answers.append(await running.ask(make_request(b"x" * 1400)))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(send)
+        statuses = sorted(answer.split(b" ")[1] for answer in answers)
+        assert statuses == [b"200", b"200", b"503"]
+        [refused] = [one for one in answers if b" 503 " in one]
+        assert b"retry-after: 0.5" in refused
+        assert running.server.held_bytes == 0
+        assert b" 200 " in await running.ask(make_request(b"x" * 1400))
+
+
+async def test_room_of_a_body_is_free_again_when_its_caller_leaves() -> None:
+    async with run_server() as running:
+        async with await running.connect() as stream:
+            await stream.send(make_request(b"x" * 1500)[:-10])
+            await anyio.sleep(0.05)
+            assert running.server.held_bytes > 0
+        await anyio.sleep(0.05)
+        assert running.server.held_bytes == 0
--- a/tests/edge/test_placement.py
+++ b/tests/edge/test_placement.py
@@ -11,7 +11,7 @@
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages
+from zinniastand_core.dispatch import messages, shards
 from zinniastand_proxy.edge import (
     datagrams,
     desk,
@@ -63,11 +63,13 @@
             self.fleet.add(ports.Member(name, "a", "127.0.0.1", 1, 1))
             self.fleet.note_heard(name, now)
         self.link = FakeLink()
-        registry = targets.Registry()
+        registry = self.registry = targets.Registry()
         registry.apply([ENTRY], now)
         _, writer = os.pipe()
         log = log_lines.LogLines("own", writer)
-        self.placement = placement.Placement(self.fleet, self.link, log)
+        self.placement = placement.Placement(
+            self.fleet, self.link, log, random.Random(1)
+        )
         self.desk = desk.Desk(
             self.fleet,
             registry,
@@ -85,7 +87,15 @@
 
     def make_ask(self, ticket: str = "t:1") -> messages.Ask:
         return messages.Ask(
-            ticket, self.service, "r", False, 1, self.now + 1, self.now + 2, 1, "a"
+            ticket,
+            shards.Shard(self.service),
+            "r",
+            False,
+            1,
+            self.now + 1,
+            self.now + 2,
+            1,
+            "a",
         )
 
     def answer_with_grant(self, *vms: str) -> None:
@@ -97,11 +107,19 @@
         self.link.answer = answer
 
     def _find_service(self) -> str:
-        """Return a service whose first two dispatchers are other VMs."""
-        names = (f"desk-{n}" for n in range(100))
-        return next(
-            name for name in names if "own" not in self.fleet.rank(name, self.now, 2)
-        )
+        """Return a service whose first two dispatchers are other VMs.
+
+        Its shards are dispatched by other VMs too, if it is divided into four.
+        """
+        for name in (f"desk-{n}" for n in range(5000)):
+            parts = [
+                shards.Shard(name),
+                *(shards.Shard(name, "a", n, 4) for n in range(4)),
+            ]
+            ranks = [self.fleet.rank(part.task, self.now, 2) for part in parts]
+            if not any("own" in rank for rank in ranks):
+                return name
+        raise AssertionError("no service dispatched by others")
 
 
 async def test_first_in_rank_is_asked_and_told_the_outcome() -> None:
@@ -111,7 +129,7 @@
     assert isinstance(answer, messages.Grant)
     assert one.link.list_asked() == [one.first]
     report = messages.Report(
-        "t:1", one.service, "t1", messages.Outcome.GOOD, 0.1, "own"
+        "t:1", shards.Shard(one.service), "t1", messages.Outcome.GOOD, 0.1, "own"
     )
     one.placement.report(report)
     assert one.link.sent_messages[-1] == (one.first, report)
@@ -199,3 +217,97 @@
     assert vm == one.first
     assert isinstance(message, messages.Report)
     assert message.outcome is messages.Outcome.ABANDONED
+
+
+def divide(one: Fixture, targets_count: int) -> None:
+    """Let the service have so many targets that it is divided."""
+    entries = [
+        dataclasses.replace(
+            ENTRY, target_id=f"t{n}", service=one.service, position=n + 10
+        )
+        for n in range(targets_count)
+    ]
+    one.registry.apply(entries, one.now)
+    one.desk.update_targets(one.now)
+
+
+def list_shards_asked(one: Fixture) -> list[shards.Shard]:
+    return [
+        message.ask.shard
+        for _, message in one.link.sent_messages
+        if isinstance(message, datagrams.Asked)
+    ]
+
+
+async def test_request_refused_in_one_shard_is_placed_in_another() -> None:
+    # One shard of four has lost its targets, or their slots are all taken, while the
+    # others have free ones. The caller would be refused although it can be served.
+    one = Fixture()
+    divide(one, 100)
+    refusing: list[shards.Shard] = []
+
+    def answer(vm: str, message: datagrams.Message) -> None:
+        if not isinstance(message, datagrams.Asked):
+            return
+        ticket, shard = message.ask.ticket, message.ask.shard
+        if not refusing:
+            refusing.append(shard)
+        decision: messages.Decision = messages.Grant(ticket, "t1", 0.1, 0.2)
+        if shard in refusing:
+            reason = messages.RefusalReason.OVERLOADED
+            decision = messages.Refuse(ticket, reason, one.now + 1, 3.0)
+        one.placement.take_decision(decision)
+
+    one.link.answer = answer
+    answered = await one.placement.acquire(one.make_ask())
+    assert isinstance(answered, messages.Grant)
+    first, second = list_shards_asked(one)
+    assert first != second
+    assert {first.count, second.count} == {4}
+
+
+async def test_refusal_is_final_after_two_shards() -> None:
+    # All shards are full. Asking each of them in turn would hold the caller back and
+    # load dispatchers that have nothing to give.
+    one = Fixture()
+    divide(one, 100)
+
+    def answer(vm: str, message: datagrams.Message) -> None:
+        if isinstance(message, datagrams.Asked):
+            reason = messages.RefusalReason.OVERLOADED
+            refuse = messages.Refuse(message.ask.ticket, reason, one.now + 1, 3.0)
+            one.placement.take_decision(refuse)
+
+    one.link.answer = answer
+    answered = await one.placement.acquire(one.make_ask())
+    assert isinstance(answered, messages.Refuse)
+    assert len(list_shards_asked(one)) == placement.MOST_SHARDS
+
+
+async def test_slots_in_use_follow_their_targets_into_new_shards() -> None:
+    # The service grows while requests are under way, and is divided. The dispatchers
+    # of the new shards would give the same slots again, and targets turn work away.
+    one = Fixture()
+    vms = ("vm-1", "vm-2")
+    one.answer_with_grant(*vms)
+    await one.placement.acquire(one.make_ask("t:1"))
+    divide(one, 100)
+    one.placement.use_desk(one.desk)
+    one.link.sent_messages.clear()
+    for n in range(40):
+        await one.placement.acquire(one.make_ask(f"n:{n}"))
+    moved = [
+        message.held.ask.shard
+        for _, message in one.link.sent_messages
+        if isinstance(message, datagrams.Adopted) and message.held.ask.ticket == "t:1"
+    ]
+    entry = one.registry.find("t1")
+    assert entry is not None
+    assert [shard.covers(entry) for shard in moved] == [True]
+    report = messages.Report(
+        "t:1", shards.Shard(one.service), "t1", messages.Outcome.GOOD, 0.1, "own"
+    )
+    one.placement.report(report)
+    last = one.link.sent_messages[-1][1]
+    assert isinstance(last, messages.Report)
+    assert last.shard == moved[0]
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import os
+import pathlib
 import random
 import socket
 
@@ -14,6 +15,7 @@
 import anyio.abc
 import httpx
 
+from soak import records
 from zinniastand_core.deployment import configuration
 from zinniastand_platform import store, words
 from zinniastand_proxy.edge import (
@@ -118,18 +120,8 @@
 
     def register(self, target: Target, state: str = "ready") -> None:
         """Write a target's entry."""
-        entry = {
-            "service": target.service,
-            "address": f"{HOST}:{target.port}",
-            "zone": "a",
-            "version": "v1",
-            "concurrency": target.slots,
-            "state": state,
-            "cold_left_ms": 0,
-            "sequence": 1,
-            "born": 1,
-        }
-        value = json.dumps(entry).encode()
+        address = f"{HOST}:{target.port}"
+        value = records.encode_entry(target.service, address, target.slots, state)
         self.store.put(words.TARGETS_TOPIC, target.target_id, value)
 
     def publish(self, routes: list[list[object]]) -> None:
@@ -138,12 +130,14 @@
         self.store.put(
             words.CONFIGURATION_TOPIC,
             words.CONFIGURATION_KEY,
-            encode_configuration(self.version, routes),
+            records.encode_configuration(self.version, routes),
         )
 
-    async def start_vm(self, name: str) -> Vm:
-        """Start a VM."""
+    async def start_vm(self, name: str, path: pathlib.Path | None = None) -> Vm:
+        """Start a VM, which watches the file at `path` if there is one."""
         settings = self.make_settings(name)
+        if path is not None:
+            path.write_text(write_settings(settings))
         reader, writer = os.pipe()
         os.set_blocking(reader, False)
         log = log_lines.LogLines(name, writer)
@@ -153,6 +147,7 @@
             words.HEADERS,
             log,
             random.Random(name),
+            edge_settings.SettingsFile(path) if path is not None else None,
         )
         await self._group.start(daemon.run)
         lines: list[dict[str, object]] = []
@@ -188,6 +183,28 @@
         )
 
 
+def write_settings(settings: edge_settings.Settings) -> str:
+    """Return settings as they stand in a file."""
+
+    def format_address(address: edge_settings.Address) -> str:
+        return f"{address.host}:{address.port}"
+
+    return json.dumps(
+        {
+            "vm": settings.vm,
+            "data_centre": settings.data_centre,
+            "callers": format_address(settings.callers),
+            "readiness": format_address(settings.readiness),
+            "metrics": format_address(settings.metrics),
+            "peers": format_address(settings.peers),
+            "store": format_address(settings.store),
+            "stop_limit_s": settings.stop_limit,
+            "unready_after_s": settings.unready_after,
+            "retries": {"ratio": 0.2, "slack": 50.0, "window_s": 10.0},
+        }
+    )
+
+
 def make_route(
     prefix: str = "/", kind: str = "unsafe", service: str = "desk", **changes: object
 ) -> list[object]:
@@ -207,28 +224,6 @@
     return list(row.values())
 
 
-def encode_configuration(version: int, routes: list[list[object]]) -> bytes:
-    """Return a configuration as operators publish it."""
-    columns = ["name", "host", "path_prefix", "kind", "timeout_ms"]
-    columns += ["target_latency_ms", "priority", "service", "max_attempts"]
-    known = {str(row[columns.index("service")]) for row in routes}
-    content = {
-        "version": f"{version:08x}",
-        "routes": {"columns": columns, "rows": routes},
-        "services": {
-            "columns": ["name", "health_path", "max_conns", "protocol", "tls"],
-            "rows": [[name, "/health", 330, "h1", False] for name in known],
-        },
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 20,
-            "header_timeout_ms": 500,
-            "idle_timeout_ms": 2000,
-        },
-    }
-    return json.dumps(content).encode()
-
-
 @contextlib.asynccontextmanager
 async def run_site() -> collections.abc.AsyncIterator[Site]:
     """Run a site with a store."""
