Let VMs settle together, raise second attempts, and draw test ports safely

Cause, seen in a fleet that starts: a VM counted itself as settled some tenths of a second before the others, so each read the store and dispatched for itself two seconds after the start (test_members fails first). News through a relay were taken for a sign of life of the reader (test_members). Idempotent work that found out about a failing target waited behind other work with its second attempt, and hung as long at a target in doubt as at a proven one.

Ruled out: the budget of retries.

Change: a VM settles with those it hears in its first second; it reads for all half a second after it knows who is there; only direct news show that a VM lives; a second attempt goes one rank up while the queue is short; overdue work moves earlier the more its target is in doubt. Listeners of tests and of the soak use ports below those of outgoing connections: one test failed beside load since its port had been taken in between (test_loopback).

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -21,7 +21,7 @@
 import httpx
 
 from zinniastand_proxy import caller_app, listeners
-from zinniastand_standins import asgi, log_app, site
+from zinniastand_standins import asgi, log_app, loopback, site
 
 from . import tables
 
@@ -75,8 +75,8 @@
         vm = f"vm-{number}"
         settings = self._place.make_settings(vm, f"dc-{number % 3}")
         settings["log"]["url"] = log_url
-        settings["callers"]["port"] = site.find_free_port()
-        settings["admin"]["port"] = site.find_free_port()
+        settings["callers"]["port"] = loopback.find_free_port()
+        settings["admin"]["port"] = loopback.find_free_port()
         settings["log_level"] = "error"
         self._admins.append(settings["admin"]["port"])
         path = self._folder / f"{vm}.json"
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -55,6 +55,10 @@
 LEAST_MEAN = 0.001
 """Least seconds that a kind of work is taken to last, as a divisor."""
 
+SHORT_BACKLOG = 0.06
+"""Seconds of work in the queue up to which a second attempt goes one rank up: ten
+requests of 0.2 s before 35 proven slots."""
+
 LEAST_WORK = 0.5
 """Times the mean time of work below which a waiting request is refused before its
 deadline: hardly any work ends sooner, and its caller may still come back in time."""
@@ -141,7 +145,7 @@
             return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
-        waiting = _Waiting(ask.priority, now, ask.ticket, ask)
+        waiting = _Waiting(self._find_rank(ask, now), now, ask.ticket, ask)
         wait = self._find_wait(waiting, now)
         if wait <= 0 or self.pool.has_free(now):
             # A free slot, if only of a target in doubt, will take work from the queue
@@ -334,9 +338,7 @@
         self, ask: messages.Ask, reason: messages.RefusalReason, now: float
     ) -> messages.Refuse:
         """Refuse, and spread the returns over the time that the queue needs."""
-        capacity = max(1.0, self.pool.find_capacity(now))
-        work = sum(self._kinds.find_mean(one.ask.kind) for one in self._queue)
-        pause = max(RETURN_PAUSE, work / capacity)
+        pause = max(RETURN_PAUSE, self._find_backlog(now))
         return messages.Refuse(
             ask.ticket,
             reason,
@@ -344,6 +346,27 @@
             self._find_pressure(now),
         )
 
+    def _find_rank(self, ask: messages.Ask, now: float) -> int:
+        """Return the rank of a request in the queue.
+
+        Load pattern: 70% to 80% of what targets can do, a third of them failing.
+        Idempotent work finds out about them for all others, and its second attempt
+        then waited behind work that had not failed: at 70% load 95.5% of it was
+        served, against 97.5% of what may run only once. One rank up while the queue
+        is short it is 97.6%, and 97.6% of all instead of 96.9%; at 80% load with a
+        quarter lost, 80.2% of all instead of 78.1% (bench.load_model, three seeds).
+        In a long queue it keeps its rank: one rank up always, work that may run only
+        once fell from 89.9% to 75.1% there.
+        """
+        if ask.attempt > 1 and self._find_backlog(now) < SHORT_BACKLOG:
+            return ask.priority - 1
+        return ask.priority
+
+    def _find_backlog(self, now: float) -> float:
+        """Return the seconds that the proven slots need for all that waits."""
+        work = sum(self._kinds.find_mean(one.ask.kind) for one in self._queue)
+        return work / max(1.0, self.pool.find_capacity(now))
+
     def _find_pressure(self, now: float) -> float:
         """Return the requests here for each slot of a target that is little in doubt.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -288,7 +288,8 @@
             case datagrams.Leaving():
                 self._fleet.remove(message.vm)
             case datagrams.News():
-                self._fleet.note_heard(message.vm, now)
+                if self._fleet.is_direct(message.vm, message.is_relayed):
+                    self._fleet.note_heard(message.vm, now)
                 self._keeper.take_news(message)
             case datagrams.VersionNotice():
                 self._keeper.take_version(message.vm, message.version)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -30,6 +30,11 @@
 """Times the expected time after which idempotent work is tried at another target. Times
 of work spread by a factor of two; one piece in a hundred takes five times as long."""
 
+OVERDUE_IN_DOUBT = 1.5
+"""The same at a target that surely fails. Idempotent work finds out about targets in
+doubt, and some of them hang instead of failing: after four times the expected time
+there is too little left for another target."""
+
 LEAST_OVERDUE = 0.25
 """Seconds before which no attempt counts as overdue, whatever is expected."""
 
@@ -311,7 +316,8 @@
     ) -> target_client.Attempt:
         left = self._plan.times.deadline_at - now
         request = self._make_request(target, left)
-        overdue = max(LEAST_OVERDUE, OVERDUE_FACTOR * grant.expected)
+        factor = OVERDUE_FACTOR + (OVERDUE_IN_DOUBT - OVERDUE_FACTOR) * grant.doubt
+        overdue = max(LEAST_OVERDUE, factor * grant.expected)
         may_be_overdue = (
             self._plan.may_retry_next and left - overdue > OVERDUE_LEFT * grant.expected
         )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import random
 
 import anyio
@@ -46,6 +47,11 @@
 CHECK_PAUSE = 0.1
 """Seconds between two looks whether it is this VM's turn to read."""
 
+JOIN_PAUSE = 0.5
+"""Seconds after this VM has read who is there from which it may become the reader.
+Before, it has heard of nobody and would take itself for the first in rank, as every
+other VM of a fleet that starts does."""
+
 STALE_AFTER = 0.95
 """Seconds after its last successful read for which the reader tells others that nothing
 has changed: one read and its slack. Together with the silence after it this stays below
@@ -154,6 +160,7 @@
         self._peer_versions: dict[str, tuple[int, float]] = {}
         self._tellings = 0
         self._told_at = 0.0
+        self._joined_at = math.inf
 
     @property
     def is_complete(self) -> bool:
@@ -314,9 +321,10 @@
 
     def _is_reading_due(self, now: float) -> bool:
         rank = self._rank(now)
-        if rank == 0:
+        if rank == 0 and now >= self._joined_at:
             return True
-        return now - self._heard_at > SILENCE + SILENCE_STEP * min(rank - 1, MOST_STEPS)
+        steps = min(max(0, rank - 1), MOST_STEPS)
+        return now - self._heard_at > SILENCE + SILENCE_STEP * steps
 
     def _rank(self, now: float) -> int:
         order = self._fleet.rank(READER_TASK, now, MOST_STEPS + 1)
@@ -428,7 +436,10 @@
             for member in found:
                 self._fleet.add(member)
             hello = datagrams.Hello(self._fleet.own, wants_answer=True)
-            self._link.send_many(hello, self._fleet.list_others())
+            others = self._fleet.list_others()
+            self._link.send_many(hello, others)
+            # Alone, there is nobody to hear of: it reads at once.
+            self._joined_at = anyio.current_time() + (JOIN_PAUSE if others else 0.0)
             return
 
     def _note_lost(self, part: str, why: str) -> None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -15,6 +15,12 @@
 """Seconds that a VM must have been known before it takes tasks over: by then it has
 heard what the VM before it knew, and a crash loop moves no task to and fro."""
 
+START_SPREAD = 1.0
+"""Seconds after the start of this VM in which it counts as new together with those that
+it hears. Where all VMs start at once, each hears the others some tenths of a second
+after its own start. Settled earlier than they, each would take every task for itself:
+123 VMs read the store and dispatched for themselves two seconds after their start."""
+
 SUSPECT_FOR = 30.0
 """Seconds for which a VM that gave no answer takes no tasks unless it is heard from. It
 is asked every second meanwhile, so a live one comes back at once."""
@@ -33,6 +39,7 @@
 
     def __init__(self, own: ports.Member, now: float) -> None:
         self.own = own
+        self._started = now
         self._known: dict[str, ports.Member] = {own.vm: own}
         self._heard_since: dict[str, float] = {own.vm: now}
         self._suspect_until: dict[str, float] = {}
@@ -54,6 +61,8 @@
     def note_heard(self, vm: str, now: float) -> None:
         """Take in that a VM was heard from."""
         if vm in self._known:
+            if vm not in self._heard_since and now <= self._started + START_SPREAD:
+                self._heard_since[self.own.vm] = now
             self._heard_since.setdefault(vm, now)
             self._suspect_until.pop(vm, None)
 
@@ -120,6 +129,18 @@
         """Return the other VMs of a data centre, suspects included."""
         return [one for one in self.list_others() if one.data_centre == data_centre]
 
+    def is_direct(self, vm: str, is_relayed: bool) -> bool:
+        """Return whether news of a VM came from it, and not through a relay.
+
+        A VM of another data centre tells only relays. News that one of them passed on
+        show that the relay can be reached: taken for a sign of the reader, they would
+        make a reader that is cut off from here the one that is asked first, again and
+        again.
+        """
+        member = self._known.get(vm)
+        is_near = member is not None and member.data_centre == self.own.data_centre
+        return is_relayed or is_near
+
     @property
     def data_centres(self) -> set[str]:
         """Data centres with a VM."""
--- a/packages/zinniastand-standins/src/zinniastand_standins/site.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/site.py
@@ -18,7 +18,7 @@
 from zinniastand_core import bundles, chain, proposals
 from zinniastand_proxy import daemon, listeners, platform_log, settings
 
-from . import log_app, log_store, target, vm_list_app, work_ledger
+from . import log_app, log_store, loopback, target, vm_list_app, work_ledger
 
 HOST = "127.0.0.1"
 CONFIG_STREAM = "config"
@@ -200,7 +200,7 @@
         """Return the settings document of a VM."""
         port = self._peer_ports.get(vm)
         if port is None:
-            port = self._peer_ports[vm] = find_free_port()
+            port = self._peer_ports[vm] = loopback.find_free_port()
         return {
             "vm": vm,
             "data_centre": data_centre,
@@ -248,11 +248,3 @@
         serialization.Encoding.Raw, serialization.PublicFormat.Raw
     )
     return base64.b64encode(raw).decode()
-
-
-def find_free_port() -> int:
-    """Return a loopback port that is free now."""
-    listener = listeners.Listener(ANY_PORT, None)
-    port = listener.port
-    listener.close()
-    return port
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -8,13 +8,13 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import anyio
 import anyio.abc
 
 from zinniastand_platform import words
+from zinniastand_standins import loopback
 
 from . import links
 
@@ -60,7 +60,10 @@
     ) -> None:
         self.number = number
         self.store = store
-        self.callers, self._readiness = _find_port(), _find_port()
+        self.callers, self._readiness = (
+            loopback.find_free_port(),
+            loopback.find_free_port(),
+        )
         self.is_ready = False
         self.process: anyio.abc.Process | None = None
         self._program = program
@@ -74,8 +77,8 @@
             "data_centre": "a",
             "callers": f"{links.HOST}:{self.callers}",
             "readiness": f"{links.HOST}:{self._readiness}",
-            "metrics": f"{links.HOST}:{_find_port()}",
-            "peers": f"{links.HOST}:{_find_port()}",
+            "metrics": f"{links.HOST}:{loopback.find_free_port()}",
+            "peers": f"{links.HOST}:{loopback.find_free_port()}",
             "store": f"{links.HOST}:{self.store.port}",
             "stop_limit_s": GRACE,
             "unready_after_s": UNREADY_AFTER,
@@ -160,9 +163,3 @@
 def find_default_program() -> pathlib.Path:
     """Return the script that starts the daemon of this checkout."""
     return pathlib.Path(words.__file__).parent.parent / "launch.py"
-
-
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((links.HOST, 0))
-        return probe.getsockname()[1]
--- a/tests/dispatch/test_load_replay.py
+++ b/tests/dispatch/test_load_replay.py
@@ -55,6 +55,15 @@
         assert result.served_by_kind["lookup"] > 0.98
 
 
+def test_idempotent_work_that_found_out_about_targets_is_not_left_behind() -> None:
+    # 70% load, a third of the targets failing. The first attempt of a lookup finds out
+    # about a target in doubt for all others; its second one, of a lower rank than
+    # writes, waited behind them until it was too late: 0.960 of the lookups were
+    # served, and 0.975 since they go one rank up.
+    own = play(load_model.play_dispatcher, make_load(0.7))
+    assert mean(one.served_by_kind["lookup"] for one in own) > 0.968
+
+
 def test_a_quarter_lost_at_high_load_still_serves_most_in_time() -> None:
     # 80% load, a quarter of the targets gone and a third of the rest failing: more
     # work than working slots. Waiting for proven slots must not make everybody late.
--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -286,3 +286,42 @@
         [line] = [one for one in vm.read_log() if one["event"] == "reload"]
         assert line["outcome"] == "refused"
         assert "data_centre" in str(line["why"])
+
+
+async def test_overdue_work_is_not_broken_off_while_there_is_no_other_slot() -> None:
+    # A lookup takes much longer than usual, and no other target has a slot. It was
+    # broken off all the same, and its caller got 502 although the target was at work;
+    # around a planned stop that also breaks the promise to finish what was read.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(kind="safe")])
+        target = edge_site.Target("t1")
+        target.delay = 1.1
+        await site.start_target(target)
+        [vm] = await start(site, "vm-1")
+        answer = await edge_site.call(vm)
+        assert answer.status_code == 200
+        assert target.ran == ["id-1"]
+        assert target.cancelled == []
+
+
+async def test_overdue_work_moves_once_another_target_has_a_slot() -> None:
+    # A target hangs. The lookup goes to another one while there is time for it, and
+    # the hanging target is told to stop.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(kind="safe")])
+        hanging = edge_site.Target("t1")
+        hanging.delay = 10.0
+        await site.start_target(hanging)
+        [vm] = await start(site, "vm-1")
+        answers: list[httpx.Response] = []
+        async with anyio.create_task_group() as group:
+
+            async def ask() -> None:
+                answers.append(await edge_site.call(vm))
+
+            group.start_soon(ask)
+            await edge_site.wait_until(lambda: hanging.ran == ["id-1"])
+            await site.start_target(edge_site.Target("t2"))
+        assert answers[0].status_code == 200
+        assert answers[0].content.startswith(b"t2")
+        await edge_site.wait_until(lambda: hanging.cancelled == ["id-1"])
--- a/tests/edge/test_knowledge_keeper.py
+++ b/tests/edge/test_knowledge_keeper.py
@@ -63,3 +63,45 @@
             answer = await edge_site.call(vms[n % 3], request_id=f"r{n}")
             assert answer.status_code == 200
         assert len(site.targets["t1"].ran) == before
+
+
+async def test_news_reach_other_data_centres_through_relays() -> None:
+    # One VM reads for two data centres. The other one hears through a relay; if that
+    # did not pass news on, every VM there would read the store for itself.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+        vms = [
+            await site.start_vm(f"vm-{n}", data_centre=place)
+            for n, place in enumerate("aaabbb")
+        ]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(4.0)
+        site.register(site.targets["t1"], "draining")
+        await anyio.sleep(1.0)
+        sources = {
+            str(line["source"])
+            for vm in vms
+            for line in vm.read_log()
+            if line["event"] == "target_changed" and line["phase"] == "draining"
+        }
+        assert "store" in sources
+        assert len(sources) == 2
+
+
+async def test_fleet_that_starts_has_one_reader_at_any_time() -> None:
+    # All VMs start together. As long as each takes itself for the first in rank, each
+    # reads the store some three times a second, and calls to the store are bounded.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(6)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        before = site.store.calls
+        await anyio.sleep(3.5)
+        # One reader waits 0.4 s and pauses 0.25 s: 5 or 6 reads, and a few more by
+        # those who became the next.
+        assert site.store.calls - before < 16
--- a/tests/edge/test_members.py
+++ b/tests/edge/test_members.py
@@ -84,3 +84,38 @@
     assert fleet.find("a") is None
     other = dataclasses.replace(make_member("own"), incarnation=9)
     assert not fleet.add(other)
+
+
+def test_vm_of_a_fleet_that_starts_does_not_take_all_tasks_for_itself() -> None:
+    # All VMs start at the same moment, and each hears the others a little after its
+    # own start. Two seconds later each was the only one settled in its own eyes: all
+    # of them read the store, and dispatched their own requests without the others.
+    fleet = members.Members(make_member("own"), 0.0)
+    for name in ("a", "b", "c"):
+        fleet.add(make_member(name))
+        fleet.note_heard(name, 0.4)
+    for tenth in range(40):
+        assert fleet.rank("desk", tenth / 10, 4) != ["own"]
+    assert "own" in fleet.rank("desk", 0.4 + SETTLED, 4)
+
+
+def test_vms_of_a_data_centre_are_asked_first() -> None:
+    fleet = make_fleet("a", "b")
+    far = ports.Member("far", "z", "10.0.0.2", 7660, 1)
+    fleet.add(far)
+    fleet.note_heard("far", 0.0)
+    assert fleet.rank("desk", 2 * SETTLED, 2, "z") == ["far"]
+    assert fleet.rank_heard("desk", 2 * SETTLED, "z") == ["far"]
+    fleet.suspect("far", 2 * SETTLED)
+    assert "far" not in fleet.rank("desk", 2 * SETTLED, 2, "z")
+    assert len(fleet.rank("desk", 2 * SETTLED, 2, "z")) == 2
+
+
+def test_news_through_a_relay_say_nothing_of_the_reader() -> None:
+    # The reader is cut off from this VM but not from its relay. Requests would ask the
+    # reader first after each piece of news, and wait for it in vain.
+    fleet = make_fleet("near")
+    fleet.add(ports.Member("far", "z", "10.0.0.2", 7660, 1))
+    assert not fleet.is_direct("far", is_relayed=False)
+    assert fleet.is_direct("far", is_relayed=True)
+    assert fleet.is_direct("near", is_relayed=False)
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import random
-import socket
 
 import anyio
 import anyio.abc
@@ -25,19 +24,12 @@
     http_server,
     log_lines,
 )
-from zinniastand_standins import topic_store, topic_store_app
+from zinniastand_standins import loopback, topic_store, topic_store_app
 
 HOST = "127.0.0.1"
 LOG_BYTES = 10_000_000
 
 
-def find_port() -> int:
-    """Return a port that nothing listens on, for TCP and UDP."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def fail_on_error(error: BaseException) -> None:
     """Let an unexpected error of a stand-in fail the test."""
     raise error
@@ -133,9 +125,12 @@
             records.encode_configuration(self.version, routes),
         )
 
-    async def start_vm(self, name: str, path: pathlib.Path | None = None) -> Vm:
+    async def start_vm(
+        self, name: str, path: pathlib.Path | None = None, data_centre: str = "a"
+    ) -> Vm:
         """Start a VM, which watches the file at `path` if there is one."""
         settings = self.make_settings(name)
+        settings = dataclasses.replace(settings, data_centre=data_centre)
         if path is not None:
             path.write_text(write_settings(settings))
         reader, writer = os.pipe()
@@ -167,7 +162,7 @@
         """Return the settings of a VM."""
 
         def address() -> edge_settings.Address:
-            return edge_settings.Address(HOST, find_port())
+            return edge_settings.Address(HOST, loopback.find_free_port())
 
         return edge_settings.Settings(
             vm=name,
--- a/tests/proxy/test_processes.py
+++ b/tests/proxy/test_processes.py
@@ -15,7 +15,7 @@
 import pytest
 import uuid6
 
-from zinniastand_standins import site
+from zinniastand_standins import loopback, site
 
 pytestmark = pytest.mark.anyio
 
@@ -88,7 +88,7 @@
 async def start_vm(place: site.Site, folder: pathlib.Path, name: str) -> Vm:
     """Start a daemon process."""
     settings = place.make_settings(name)
-    callers, admin = site.find_free_port(), site.find_free_port()
+    callers, admin = loopback.find_free_port(), loopback.find_free_port()
     settings["callers"]["port"] = callers
     settings["admin"]["port"] = admin
     path = folder / f"{name}.json"
