--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -29,12 +29,10 @@
     timeline,
 )
 
-from . import consecutive, shapes
+from . import arrival_service, consecutive, shapes
 
-SERVICE = "service"
 HOP = 0.0005
 TICK = 0.5
-PATIENCE_FACTOR = 20.0
 TRUSTED = services.Operators((), 1)
 
 ALONE = "alone"
@@ -65,7 +63,7 @@
         own = membership.Member(self.name, place, "", 1)
         self.control = control.Control(own, TRUSTED, 86400.0, self.events)
         self.router = router.Router(model.service, model.generator, 0.0)
-        self.control.evidence.use_routers({SERVICE: self.router})
+        self.control.evidence.use_routers({arrival_service.SERVICE: self.router})
         self.waiting: dict[int, _Request] = {}
         self.failures: dict[str, int] = {}
         self.out_until: dict[str, float] = {}
@@ -112,7 +110,7 @@
         self.faults = faults
         self.mode = mode
         self.generator = random.Random(seed)
-        self.service = _make_service(shape)
+        self.service = arrival_service.make_service(shape)
         self.now = 0.0
         self.done: list[shapes.Done] = []
         self.sent: list[tuple[float, int]] = []
@@ -404,36 +402,3 @@
 
 def _tilt(number: int, count: int) -> float:
     return 2.0 * number / max(1, count - 1) - 1.0
-
-
-def _make_service(shape: shapes.Shape) -> services.Service:
-    limit = shape.work_time * PATIENCE_FACTOR
-    kinds = (
-        services.Kind("lookup", services.Work.IDEMPOTENT, limit, 1.0),
-        services.Kind("order", services.Work.IDEMPOTENT, limit, 5.0),
-    )
-    targets = tuple(
-        services.Target(
-            str(number),
-            "127.0.0.1",
-            1000 + number,
-            f"dc-{number % shape.vm_places}",
-            shape.slots,
-            False,
-        )
-        for number in range(shape.targets)
-    )
-    total = shape.targets * shape.slots
-    return services.Service(
-        name=SERVICE,
-        floor_slots=int(shape.floor_share * total),
-        detection_weight=shape.detection_weight,
-        max_in_flight=total,
-        max_queue=64,
-        echo_header="",
-        probe_path="/health",
-        not_started=services.NotStartedRule(503, "x-not-started"),
-        kinds=kinds,
-        routes=(),
-        targets=targets,
-    )
