--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,11 @@
 import anyio.abc
 
 from zinniastand_core.deployment import configuration
-from zinniastand_platform import words
+from zinniastand_platform import encoding, words
 from zinniastand_proxy.edge import http_server
 from zinniastand_standins import topic_store, topic_store_app
 
-from . import callers, ledger, links, plan, promises, records, targets, vms
+from . import callers, ledger, links, plan, promises, targets, vms
 
 VMS = 4
 TARGETS = {"desk": 4, "register": 3}
@@ -202,7 +202,7 @@
 
     def _register(self, target: targets.Target, state: str) -> None:
         address = f"{links.HOST}:{target.link.port}"
-        value = records.encode_entry(target.service, address, targets.SLOTS, state)
+        value = encoding.encode_entry(target.service, address, targets.SLOTS, state)
         self._store.put(words.TARGETS_TOPIC, target.target_id, value)
 
     async def _replace(self, target: targets.Target) -> None:
@@ -226,7 +226,7 @@
             _make_route("/other/", "unsafe", "register"),
             _make_route("/moving/", "unsafe", moving),
         ]
-        value = records.encode_configuration(version, routes)
+        value = encoding.encode_configuration(version, routes)
         self._store.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, value)
         now = anyio.current_time()
         self._book.published.append(ledger.Published(version, moving, now))
--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -9,7 +9,7 @@
 import httpx
 import pytest
 
-from soak import records
+from zinniastand_platform import encoding
 
 pytestmark = pytest.mark.anyio
 
@@ -171,7 +171,7 @@
         # Only the first VM's own read gets through.
         site.publish([edge_site.make_route("/new/")])
         current = edge_site.store.decoding.decode_configuration(
-            records.encode_configuration(site.version, [edge_site.make_route("/new/")])
+            encoding.encode_configuration(site.version, [edge_site.make_route("/new/")])
         )
         first.daemon.use_configuration(current)
         await anyio.sleep(1.0)
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -14,9 +14,8 @@
 import anyio.abc
 import httpx
 
-from soak import records
 from zinniastand_core.deployment import configuration
-from zinniastand_platform import store, words
+from zinniastand_platform import encoding, store, words
 from zinniastand_proxy.edge import (
     desk,
     edge_daemon,
@@ -113,7 +112,7 @@
     def register(self, target: Target, state: str = "ready") -> None:
         """Write a target's entry."""
         address = f"{HOST}:{target.port}"
-        value = records.encode_entry(target.service, address, target.slots, state)
+        value = encoding.encode_entry(target.service, address, target.slots, state)
         self.store.put(words.TARGETS_TOPIC, target.target_id, value)
 
     def publish(self, routes: list[list[object]]) -> None:
@@ -122,7 +121,7 @@
         self.store.put(
             words.CONFIGURATION_TOPIC,
             words.CONFIGURATION_KEY,
-            records.encode_configuration(self.version, routes),
+            encoding.encode_configuration(self.version, routes),
         )
 
     async def start_vm(
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -10,9 +10,8 @@
 import edge_site
 import pytest
 
-from soak import records
 from zinniastand_core.deployment import configuration, targets
-from zinniastand_platform import store, words
+from zinniastand_platform import encoding, store, words
 from zinniastand_proxy.edge import edge_settings, http_server, log_lines, ports
 from zinniastand_standins import topic_store, topic_store_app
 
@@ -78,7 +77,7 @@
 
         async def publish() -> None:
             await anyio.sleep(0.1)
-            data = records.encode_configuration(7, [edge_site.make_route()])
+            data = encoding.encode_configuration(7, [edge_site.make_route()])
             topics.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, data)
 
         async with anyio.create_task_group() as group:
@@ -90,7 +89,7 @@
 
 async def test_broken_and_foreign_records_are_passed_over() -> None:
     async with run_store() as (topics, client):
-        data = records.encode_configuration(7, [edge_site.make_route()])
+        data = encoding.encode_configuration(7, [edge_site.make_route()])
         topics.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, data)
         page = await client.read_configuration()
         topics.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, b"{broken")
