Log why an attempt at a target ended

What an on-call engineer could not tell: whether an attempt that is logged as silent was broken off as overdue by the proxy or met its deadline, and so which of the hypotheses about a lookup given up after SIGTERM holds. Change: the line of an attempt says what ended it.

With it, the failing tests show the first hypothesis at work (one line each, shortened): stopping in_flight=1; attempt t1 silent why=overdue ms=723; attempt t2 shed why='turned away with 503' ms=2; answer 502 ms=726.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -46,6 +46,10 @@
 
 MILLISECONDS = 1000.0
 
+CALLER_LEFT = "caller left"
+DEADLINE = "deadline"
+OVERDUE = "overdue"
+
 OUTCOMES = {
     plan.Result.ANSWERED: messages.Outcome.GOOD,
     plan.Result.ERROR: messages.Outcome.FAILED,
@@ -245,7 +249,7 @@
                 self._release(self._next)
             return self._finish(step)
         if not self._incoming.caller.has_left:
-            self._why = "deadline"
+            self._why = DEADLINE
         return self._finish(self._plan.give_up())
 
     def _may_cancel(self) -> bool:
@@ -295,15 +299,18 @@
         self._plan.start_attempt(target.target_id)
         started = anyio.current_time()
         outcome = messages.Outcome.ABANDONED
+        why = CALLER_LEFT
         try:
             attempt = await self._send(target, grant, started)
             outcome = OUTCOMES[attempt.result]
+            why = attempt.detail
         finally:
             now = anyio.current_time()
             if outcome is messages.Outcome.ABANDONED and now >= ask.deadline_at:
                 outcome = messages.Outcome.SILENT
+                why = DEADLINE
             self._report(ask, target.target_id, outcome, now - started)
-            self._log_attempt(target, place, outcome, now - started)
+            self._log_attempt(target, place, outcome, why, now - started)
         if attempt.result is plan.Result.UNREACHABLE:
             self._forwarder.note_unreachable(target.target_id, now)
         if attempt.answer is not None:
@@ -358,7 +365,7 @@
             self._release(self._next)
             self._next = None
             return ended
-        return target_client.Attempt(plan.Result.SILENT, None, "overdue")
+        return target_client.Attempt(plan.Result.SILENT, None, OVERDUE)
 
     def _make_ask(self) -> messages.Ask:
         forwarder, times = self._forwarder, self._plan.times
@@ -434,6 +441,7 @@
         target: targets.Entry,
         place: _Place,
         outcome: messages.Outcome,
+        why: str,
         took: float,
     ) -> None:
         grant = place.grant
@@ -446,6 +454,7 @@
             expected_ms=round(grant.expected * MILLISECONDS),
             waited_ms=round(place.waited * MILLISECONDS, 1),
             outcome=outcome.value,
+            why=why,
             ms=round(took * MILLISECONDS),
         )
         self._tools.metrics.count(
