Split the run of a request out of the forwarder

Change: one module each; the run takes slots and targets through Protocol types, so that it can be tested in virtual time.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import typing
 
+from zinniastand_core import services
 from zinniastand_core.deployment import configuration, targets
+from zinniastand_core.dispatch import messages
+
+from . import http_exchange, target_client
 
 
 class StoreUnavailableError(Exception):
@@ -100,3 +105,32 @@
     async def close(self) -> None:
         """Close all connections."""
         ...
+
+
+class SlotSource(typing.Protocol):
+    """Where requests get slots of targets."""
+
+    async def acquire(self, ask: messages.Ask) -> messages.Grant | messages.Refuse:
+        """Return a slot of a target, or why there is none."""
+        ...
+
+    def report(self, report: messages.Report) -> None:
+        """Give a slot back, and tell how the attempt went."""
+        ...
+
+
+class TargetExchange(typing.Protocol):
+    """Connections to targets."""
+
+    async def attempt(
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
+        mark_sent: collections.abc.Callable[[], None],
+    ) -> target_client.Attempt:
+        """Send a request to one target and return how it ended.
+
+        `mark_sent` is called just before the first byte is handed to a connection.
+        """
+        ...
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -0,0 +1,119 @@
+"""Notes in log and metrics what became of requests."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from zinniastand_core.deployment import configuration
+from zinniastand_core.dispatch import messages
+
+from .. import metrics
+from . import log_lines
+
+MILLISECONDS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt at a target, as it stands in the log."""
+
+    request_id: str
+    """The request."""
+
+    service: str
+    """The service that it goes to."""
+
+    grant: messages.Grant
+    """The slot that it was made with."""
+
+    waited: float
+    """Seconds until the slot was granted."""
+
+    outcome: messages.Outcome
+    """How it went."""
+
+    why: str
+    """What ended it."""
+
+    took: float
+    """Seconds that it took."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The one answer to a request, as it stands in the log."""
+
+    request_id: str
+    """The request."""
+
+    status: int
+    """Status code."""
+
+    why: str
+    """The target's status, or why there is no answer of a target."""
+
+    took: float = 0.0
+    """Seconds from the request's first byte."""
+
+    attempts: int = 0
+    """Targets that it was tried at."""
+
+
+class RequestNotes:
+    """Where decisions about requests are noted.
+
+    Parameters
+    ----------
+    log : log_lines.LogLines
+        A line for each attempt and each answer.
+    counters : metrics.Metrics
+        Counts and latencies.
+    configured : configuration.ConfigurationState
+        Its version stands in each answer's line.
+    """
+
+    def __init__(
+        self,
+        log: log_lines.LogLines,
+        counters: metrics.Metrics,
+        configured: configuration.ConfigurationState,
+    ) -> None:
+        self._log = log
+        self._counters = counters
+        self._configured = configured
+
+    def note_attempt(self, attempt: Attempt) -> None:
+        """Note how an attempt ended."""
+        grant = attempt.grant
+        self._log.write(
+            "attempt",
+            request=attempt.request_id,
+            service=attempt.service,
+            target=grant.target_id,
+            doubt=round(grant.doubt, 3),
+            expected_ms=round(grant.expected * MILLISECONDS),
+            waited_ms=round(attempt.waited * MILLISECONDS, 1),
+            outcome=attempt.outcome.value,
+            why=attempt.why,
+            ms=round(attempt.took * MILLISECONDS),
+        )
+        self._counters.count(
+            "zinniastand_attempts_total", metrics.label(outcome=attempt.outcome.value)
+        )
+
+    def note_answer(self, answer: Answer) -> None:
+        """Note the one answer to a request."""
+        self._log.write(
+            "answer",
+            request=answer.request_id,
+            status=answer.status,
+            why=answer.why,
+            ms=round(answer.took * MILLISECONDS),
+            attempts=answer.attempts,
+            version=self._configured.version,
+        )
+        self._counters.count(
+            "zinniastand_answers_total",
+            metrics.label(status=str(answer.status), why=answer.why),
+        )
+        self._counters.record("zinniastand_answer_seconds", answer.took)
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -0,0 +1,360 @@
+"""Runs one request: asks for targets, sends to them, and ends with its one answer."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+import anyio
+
+from zinniastand_core.deployment import configuration, targets
+from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.forwarding import plan
+
+from . import (
+    http_exchange,
+    http_server,
+    ports,
+    replies,
+    request_notes,
+    target_client,
+    unreachable_targets,
+    vocabulary,
+)
+
+OVERDUE_FACTOR = 4.0
+"""Times the expected time after which idempotent work is tried at another target. Times
+of work spread by a factor of two; one piece in a hundred takes five times as long."""
+
+OVERDUE_IN_DOUBT = 1.5
+"""The same at a target that surely fails. Idempotent work finds out about targets in
+doubt, and some of them hang instead of failing: after four times the expected time
+there is too little left for another target."""
+
+LEAST_OVERDUE = 0.25
+"""Seconds before which no attempt counts as overdue, whatever is expected."""
+
+OVERDUE_LEFT = 1.5
+"""Times the expected time that must be left for another attempt to be worth it."""
+
+RETURN_PAUSE = 0.5
+"""Seconds after which a caller may come back where the dispatcher names no time."""
+
+MILLISECONDS = 1000.0
+
+CALLER_LEFT = "caller left"
+DEADLINE = "deadline"
+OVERDUE = "overdue"
+
+OUTCOMES = {
+    plan.Result.ANSWERED: messages.Outcome.GOOD,
+    plan.Result.ERROR: messages.Outcome.FAILED,
+    plan.Result.BROKEN: messages.Outcome.FAILED,
+    plan.Result.SILENT: messages.Outcome.SILENT,
+    plan.Result.TURNED_AWAY: messages.Outcome.SHED,
+    plan.Result.MISPLACED: messages.Outcome.MISPLACED,
+    plan.Result.UNREACHABLE: messages.Outcome.UNREACHABLE,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What all runs of a VM work with."""
+
+    vm: str
+    """Name of this VM."""
+
+    data_centre: str
+    """Where it runs."""
+
+    slots: ports.SlotSource
+    """Gets slots of targets."""
+
+    exchange: ports.TargetExchange
+    """Sends to targets."""
+
+    registry: targets.Registry
+    """Targets known."""
+
+    unreachable: unreachable_targets.UnreachableTargets
+    """Targets that this VM leaves out."""
+
+    notes: request_notes.RequestNotes
+    """Decisions."""
+
+    words: vocabulary.Vocabulary
+    """Headers of the platform."""
+
+    make_ticket: collections.abc.Callable[[], str]
+    """Returns a name for an ask that is unique over the fleet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Place:
+    """A slot of a target that this request holds."""
+
+    ask: messages.Ask
+    """What was asked."""
+
+    grant: messages.Grant
+    """The slot."""
+
+    waited: float
+    """Seconds until it was granted."""
+
+
+class Run:
+    """The run of one request.
+
+    Parameters
+    ----------
+    parts : Parts
+        What it works with.
+    incoming : http_server.Incoming
+        The request.
+    route : configuration.Route
+        Its route.
+    service : str
+        The service of the route that it goes to.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        incoming: http_server.Incoming,
+        route: configuration.Route,
+        service: str,
+    ) -> None:
+        self._parts = parts
+        self._incoming = incoming
+        self._route = route
+        self._service = service
+        self._request_id = read_request_id(incoming, parts.words)
+        limit = incoming.read_at + min(
+            route.time_limit, self._read_time_left(route.time_limit)
+        )
+        objective = min(limit, incoming.read_at + route.objective)
+        self._plan = plan.Plan(route, plan.Times(objective, limit))
+        self._answer: http_exchange.Answer | None = None
+        self._next: _Place | None = None
+        self._retry_at: float | None = None
+        self._why = ""
+
+    async def run(self) -> http_server.Reply:
+        """Return the one answer, by the deadline."""
+        with anyio.CancelScope(deadline=self._plan.times.deadline_at) as scope:
+            self._incoming.caller.watch(scope, self._may_cancel)
+            try:
+                step = plan.Step.TRY_AGAIN
+                while step is plan.Step.TRY_AGAIN:
+                    step = await self._try_once()
+            finally:
+                self._release(self._next)
+            return self._finish(step)
+        if not self._incoming.caller.has_left:
+            self._why = DEADLINE
+        return self._finish(self._plan.give_up())
+
+    def _may_cancel(self) -> bool:
+        """Return whether to stop when the caller has left.
+
+        Work that may run only once and is under way goes on: breaking it off would
+        leave its caller without knowing how much of it was done.
+        """
+        return self._plan.is_idempotent or not self._plan.may_have_run
+
+    async def _try_once(self) -> plan.Step:
+        place = self._next or await self._acquire()
+        self._next = None
+        if place is None:
+            return self._plan.give_up()
+        target = self._parts.registry.find_usable(place.grant.target_id)
+        if target is None:
+            # The dispatcher knows a target that this VM does not know yet, or has not
+            # heard that this one is leaving. A dispatcher that is cut off from the
+            # store would otherwise make every VM send work to targets that leave.
+            self._release(place)
+            self._plan.start_attempt(place.grant.target_id)
+            now = anyio.current_time()
+            return self._plan.end_attempt(plan.Result.UNREACHABLE, now)
+        return await self._attempt(place, target)
+
+    async def _acquire(self) -> _Place | None:
+        """Return a slot, or None where the dispatcher refuses."""
+        ask = self._make_ask()
+        asked_at = anyio.current_time()
+        answer = await self._parts.slots.acquire(ask)
+        if isinstance(answer, messages.Grant):
+            return _Place(ask, answer, anyio.current_time() - asked_at)
+        self._why = answer.reason.value
+        self._retry_at = answer.retry_at
+        return None
+
+    def _release(self, place: _Place | None) -> None:
+        """Give back a slot that is not used after all."""
+        if place is not None:
+            self._report(place, messages.Outcome.ABANDONED, 0.0)
+
+    async def _attempt(self, place: _Place, target: targets.Entry) -> plan.Step:
+        self._plan.start_attempt(target.target_id)
+        started = anyio.current_time()
+        outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
+        try:
+            attempt = await self._send(target, place.grant, started)
+            outcome, why = OUTCOMES[attempt.result], attempt.detail
+        finally:
+            now = anyio.current_time()
+            is_late = now >= place.ask.deadline_at
+            if outcome is messages.Outcome.ABANDONED and is_late:
+                outcome, why = messages.Outcome.SILENT, DEADLINE
+            self._report(place, outcome, now - started)
+            self._note_attempt(place, outcome, why, now - started)
+        if attempt.result is plan.Result.UNREACHABLE:
+            self._parts.unreachable.note(target.target_id, now)
+        if attempt.answer is not None:
+            self._answer = attempt.answer
+        self._why = attempt.detail
+        return self._plan.end_attempt(attempt.result, now)
+
+    async def _send(
+        self, target: targets.Entry, grant: messages.Grant, now: float
+    ) -> target_client.Attempt:
+        left = self._plan.times.deadline_at - now
+        request = self._make_request(target, left)
+        factor = OVERDUE_FACTOR + (OVERDUE_IN_DOUBT - OVERDUE_FACTOR) * grant.doubt
+        overdue = max(LEAST_OVERDUE, factor * grant.expected)
+        may_be_overdue = (
+            self._plan.may_retry_next and left - overdue > OVERDUE_LEFT * grant.expected
+        )
+        if may_be_overdue:
+            return await self._send_until_overdue(target, request, overdue)
+        return await self._send_plainly(target, request)
+
+    async def _send_plainly(
+        self, target: targets.Entry, request: http_exchange.Request
+    ) -> target_client.Attempt:
+        return await self._parts.exchange.attempt(
+            target, request, self._route.work, self._plan.mark_sent
+        )
+
+    async def _send_until_overdue(
+        self, target: targets.Entry, request: http_exchange.Request, overdue: float
+    ) -> target_client.Attempt:
+        """Send, and break off overdue work once another target has a slot for it.
+
+        Breaking it off before would leave the request with nothing where no other
+        slot is to be had: its caller got 502 while the target was still at work.
+        """
+        ended: target_client.Attempt | None = None
+        async with anyio.create_task_group() as group:
+
+            async def _send() -> None:
+                nonlocal ended
+                ended = await self._send_plainly(target, request)
+                group.cancel_scope.cancel()
+
+            group.start_soon(_send)
+            await anyio.sleep(overdue)
+            # Kept at once: the request may end while the first attempt is broken off.
+            self._next = await self._acquire()
+            if self._next is not None:
+                group.cancel_scope.cancel()
+        if ended is not None:
+            self._release(self._next)
+            self._next = None
+            return ended
+        return target_client.Attempt(plan.Result.SILENT, None, OVERDUE)
+
+    def _make_ask(self) -> messages.Ask:
+        parts, times = self._parts, self._plan.times
+        unreachable = parts.unreachable.list_current(anyio.current_time())
+        return messages.Ask(
+            ticket=parts.make_ticket(),
+            shard=shards.Shard(self._service),
+            kind=self._route.name,
+            may_retry=self._plan.may_retry_next,
+            priority=self._route.priority,
+            objective_at=times.objective_at,
+            deadline_at=times.deadline_at,
+            attempt=self._plan.sent + 1,
+            data_centre=parts.data_centre,
+            excluded=tuple(sorted({*self._plan.excluded, *unreachable})),
+        )
+
+    def _make_request(
+        self, target: targets.Entry, left: float
+    ) -> http_exchange.Request:
+        words = self._parts.words
+        replaced = (words.time_left, words.expected_target)
+        original = self._incoming.request
+        headers = [one for one in original.headers if one[0] not in replaced]
+        # Rounded down: a target must never be told more time than is left.
+        headers.append((words.time_left, b"%d" % max(1, int(left * MILLISECONDS))))
+        headers.append((words.expected_target, target.target_id.encode("latin-1")))
+        return dataclasses.replace(original, headers=headers)
+
+    def _read_time_left(self, default: float) -> float:
+        value = http_exchange.find_header(
+            self._incoming.request.headers, self._parts.words.time_left
+        )
+        if value is None or not value.isdigit():
+            return default
+        return int(value) / MILLISECONDS
+
+    def _report(self, place: _Place, outcome: messages.Outcome, took: float) -> None:
+        """Give the slot back, and tell how the attempt went."""
+        ask, target_id = place.ask, place.grant.target_id
+        self._parts.slots.report(
+            messages.Report(
+                ask.ticket, ask.shard, target_id, outcome, took, self._parts.vm
+            )
+        )
+
+    def _note_attempt(
+        self, place: _Place, outcome: messages.Outcome, why: str, took: float
+    ) -> None:
+        self._parts.notes.note_attempt(
+            request_notes.Attempt(
+                self._request_id,
+                self._service,
+                place.grant,
+                place.waited,
+                outcome,
+                why,
+                took,
+            )
+        )
+
+    def _finish(self, step: plan.Step) -> http_server.Reply:
+        now = anyio.current_time()
+        reply = self._make_reply(step, now)
+        took = now - self._incoming.read_at
+        self._parts.notes.note_answer(
+            request_notes.Answer(
+                self._request_id, reply.status, self._why, took, self._plan.attempts
+            )
+        )
+        return reply
+
+    def _make_reply(self, step: plan.Step, now: float) -> http_server.Reply:
+        if step is plan.Step.RELAY and self._answer is not None:
+            headers = http_exchange.strip_connection_headers(self._answer.headers)
+            return http_server.Reply(self._answer.status, headers, self._answer.body)
+        if step is plan.Step.SAY_NOT_RUN:
+            return replies.explain(503, self._why, self._find_pause(now))
+        status = 504 if now >= self._plan.times.deadline_at else 502
+        return replies.explain(status, self._why)
+
+    def _find_pause(self, now: float) -> float:
+        """Return the seconds after which the caller may come back."""
+        if self._retry_at is None:
+            return RETURN_PAUSE
+        return max(0.0, self._retry_at - now)
+
+
+def read_request_id(
+    incoming: http_server.Incoming, words: vocabulary.Vocabulary
+) -> str:
+    """Return the name that the caller gave the request, empty where it gave none."""
+    value = http_exchange.find_header(incoming.request.headers, words.request_id)
+    return (value or b"").decode("latin-1")
