Keep an overdue attempt under way until another target has answered

Cause: work that took four times as long as expected was broken off for a slot of another target. Then nothing was left to give. The class: a request at work is given up for a step that has not succeeded yet.

Ruled out: the stop itself (its limit is 5.6 s after SIGTERM, and a run that it ends has its connection closed, without 502). An answer to another request on the connection was not needed for the times; it is looked at apart.

Change: the overdue attempt goes on beside the next ones, the first answer ends all, and the plan knows which attempts are under way: until the deadline it gives no answer of the proxy's own while one is.

Result.SILENT went, since no attempt ends that way any more; tests name the others. The route's limit of targets and the budget of retries are as before.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -1,8 +1,9 @@
 """What becomes of one request after each attempt: another target, or the one answer.
 
-The plan holds the two promises towards callers. Work that may run only once goes to a
+The plan holds three promises towards callers. Work that may run only once goes to a
 second target only after proof that the first did not run it. "Not run" is said only
-while every attempt so far is known not to have run.
+while every attempt so far is known not to have run. Before the deadline, an attempt
+that is under way is given up only for an answer of another target.
 """
 
 from __future__ import annotations
@@ -26,9 +27,6 @@
     BROKEN = "broken"
     """No whole answer to this request; it may have run."""
 
-    SILENT = "silent"
-    """No answer in the time that the plan allowed; it may have run."""
-
     TURNED_AWAY = "turned-away"
     """The target proved that it did not run the request."""
 
@@ -39,7 +37,8 @@
     """No connection was made, so nothing was sent."""
 
 
-NOT_RUN = frozenset({Result.TURNED_AWAY, Result.MISPLACED, Result.UNREACHABLE})
+PROVED_NOT_RUN = frozenset({Result.TURNED_AWAY, Result.MISPLACED})
+"""Results of a request that was sent by which the target proves that it has not run."""
 
 MOST_UNSENT = 6
 """Attempts that may end without a connection, beyond the route's own limit of targets.
@@ -56,6 +55,9 @@
     TRY_AGAIN = "try-again"
     """Ask for another target."""
 
+    WAIT = "wait"
+    """Wait for an attempt that is still under way."""
+
     RELAY = "relay"
     """Give the caller the last whole answer."""
 
@@ -92,10 +94,11 @@
         self._route = route
         self.times = times
         self._attempts = 0
+        self._under_way = 0
         self._sent = 0
-        self._may_have_run = False
-        self._ran_before = False
-        self._has_answer = False
+        self._proved_not_run = 0
+        self._has_error = False
+        self._is_answered = False
         self._excluded: list[str] = []
 
     @property
@@ -111,7 +114,12 @@
     @property
     def may_have_run(self) -> bool:
         """Whether some target may have run the request."""
-        return self._may_have_run
+        return self._sent > self._proved_not_run
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether there is an answer that ends the request."""
+        return self._is_answered
 
     @property
     def excluded(self) -> tuple[str, ...]:
@@ -131,7 +139,7 @@
     def start_attempt(self, target_id: str) -> None:
         """Take in that the request goes to a target."""
         self._attempts += 1
-        self._ran_before = self._may_have_run
+        self._under_way += 1
         self._excluded.append(target_id)
 
     def mark_sent(self) -> None:
@@ -140,27 +148,37 @@
         From here on it counts as run until the target proves the contrary.
         """
         self._sent += 1
-        self._may_have_run = True
 
     def end_attempt(self, result: Result, now: float) -> Step:
         """Take in how an attempt ended; return what to do next."""
+        self._under_way -= 1
         if result is Result.ANSWERED:
-            return Step.RELAY
-        if result in NOT_RUN:
-            # Only this attempt is proved not to have run; an earlier one of
-            # idempotent work may have.
-            self._may_have_run = self._ran_before
+            self._is_answered = True
+        if result in PROVED_NOT_RUN:
+            # Only this attempt is proved not to have run; another one of idempotent
+            # work may have.
+            self._proved_not_run += 1
         if result is Result.ERROR:
-            self._has_answer = True
-        if self._may_try_again(now):
+            self._has_error = True
+        if not self._is_answered and self._may_try_again(now):
             return Step.TRY_AGAIN
         return self.give_up()
 
     def give_up(self) -> Step:
-        """Return the final answer when nothing more will be tried."""
-        if self._has_answer:
+        """Return what to do when no further target will be tried.
+
+        An attempt that is under way may still be answered. Ending the request without
+        it would leave its caller with an error while a target is at work.
+        """
+        if self._under_way and not self._is_answered:
+            return Step.WAIT
+        return self.expire()
+
+    def expire(self) -> Step:
+        """Return the final answer when nobody waits any longer."""
+        if self._is_answered or self._has_error:
             return Step.RELAY
-        return Step.SAY_UNKNOWN if self._may_have_run else Step.SAY_NOT_RUN
+        return Step.SAY_UNKNOWN if self.may_have_run else Step.SAY_NOT_RUN
 
     def _may_try_again(self, now: float) -> bool:
         if now + LEAST_LEFT >= self.times.deadline_at:
@@ -169,4 +187,4 @@
             return False
         if self._attempts >= self._route.max_attempts + MOST_UNSENT:
             return False
-        return self.is_idempotent or not self._may_have_run
+        return self.is_idempotent or not self.may_have_run
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import anyio
 
@@ -23,8 +24,9 @@
 )
 
 OVERDUE_FACTOR = 4.0
-"""Times the expected time after which idempotent work is tried at another target. Times
-of work spread by a factor of two; one piece in a hundred takes five times as long."""
+"""Times the expected time after which idempotent work is tried at another target too.
+Times of work spread by a factor of two; one piece in a hundred takes five times as
+long."""
 
 OVERDUE_IN_DOUBT = 1.5
 """The same at a target that surely fails. Idempotent work finds out about targets in
@@ -44,13 +46,13 @@
 
 CALLER_LEFT = "caller left"
 DEADLINE = "deadline"
+OTHER_ANSWERED = "another target answered"
 OVERDUE = "overdue"
 
 OUTCOMES = {
     plan.Result.ANSWERED: messages.Outcome.GOOD,
     plan.Result.ERROR: messages.Outcome.FAILED,
     plan.Result.BROKEN: messages.Outcome.FAILED,
-    plan.Result.SILENT: messages.Outcome.SILENT,
     plan.Result.TURNED_AWAY: messages.Outcome.SHED,
     plan.Result.MISPLACED: messages.Outcome.MISPLACED,
     plan.Result.UNREACHABLE: messages.Outcome.UNREACHABLE,
@@ -135,25 +137,19 @@
         )
         objective = min(limit, incoming.read_at + route.objective)
         self._plan = plan.Plan(route, plan.Times(objective, limit))
+        self._scope = anyio.CancelScope(deadline=limit)
         self._answer: http_exchange.Answer | None = None
-        self._next: _Place | None = None
         self._retry_at: float | None = None
         self._why = ""
 
     async def run(self) -> http_server.Reply:
         """Return the one answer, by the deadline."""
-        with anyio.CancelScope(deadline=self._plan.times.deadline_at) as scope:
-            self._incoming.caller.watch(scope, self._may_cancel)
-            try:
-                step = plan.Step.TRY_AGAIN
-                while step is plan.Step.TRY_AGAIN:
-                    step = await self._try_once()
-            finally:
-                self._release(self._next)
-            return self._finish(step)
-        if not self._incoming.caller.has_left:
-            self._why = DEADLINE
-        return self._finish(self._plan.give_up())
+        with self._scope:
+            self._incoming.caller.watch(self._scope, self._may_cancel)
+            return self._finish(await self._try_targets())
+        has_left = self._incoming.caller.has_left
+        self._why = CALLER_LEFT if has_left else DEADLINE
+        return self._finish(self._plan.expire())
 
     def _may_cancel(self) -> bool:
         """Return whether to stop when the caller has left.
@@ -163,21 +159,30 @@
         """
         return self._plan.is_idempotent or not self._plan.may_have_run
 
+    async def _try_targets(self) -> plan.Step:
+        """Try one target after the other; return what ends the tries."""
+        step = plan.Step.TRY_AGAIN
+        while step is plan.Step.TRY_AGAIN:
+            step = await self._try_once()
+        return step
+
     async def _try_once(self) -> plan.Step:
-        place = self._next or await self._acquire()
-        self._next = None
+        place = await self._acquire()
         if place is None:
             return self._plan.give_up()
         target = self._parts.registry.find_usable(place.grant.target_id)
+        self._plan.start_attempt(place.grant.target_id)
         if target is None:
             # The dispatcher knows a target that this VM does not know yet, or has not
             # heard that this one is leaving. A dispatcher that is cut off from the
             # store would otherwise make every VM send work to targets that leave.
-            self._release(place)
-            self._plan.start_attempt(place.grant.target_id)
+            self._report(place, messages.Outcome.ABANDONED, 0.0)
             now = anyio.current_time()
             return self._plan.end_attempt(plan.Result.UNREACHABLE, now)
-        return await self._attempt(place, target)
+        overdue_at = self._find_overdue(place.grant, anyio.current_time())
+        if overdue_at < math.inf:
+            return await self._attempt_with_backup(place, target, overdue_at)
+        return await self._attempt(place, target, overdue_at)
 
     async def _acquire(self) -> _Place | None:
         """Return a slot, or None where the dispatcher refuses."""
@@ -190,80 +195,87 @@
         self._retry_at = answer.retry_at
         return None
 
-    def _release(self, place: _Place | None) -> None:
-        """Give back a slot that is not used after all."""
-        if place is not None:
-            self._report(place, messages.Outcome.ABANDONED, 0.0)
+    def _find_overdue(self, grant: messages.Grant, now: float) -> float:
+        """Return from when on another target is tried too; infinite for never."""
+        left = self._plan.times.deadline_at - now
+        factor = OVERDUE_FACTOR + (OVERDUE_IN_DOUBT - OVERDUE_FACTOR) * grant.doubt
+        overdue = max(LEAST_OVERDUE, factor * grant.expected)
+        if not self._plan.may_retry_next:
+            return math.inf
+        if left - overdue <= OVERDUE_LEFT * grant.expected:
+            return math.inf
+        return now + overdue
+
+    async def _attempt_with_backup(
+        self, place: _Place, target: targets.Entry, overdue_at: float
+    ) -> plan.Step:
+        """Attempt; once that is overdue, try other targets beside it.
+
+        The first answer ends all. An overdue attempt that was broken off for another
+        one left its caller with 502 where the other failed, while its own target was
+        at work. So it goes on until there is an answer to give in its place.
+        """
+        step = plan.Step.WAIT
+        is_overdue = False
+        async with anyio.create_task_group() as group:
+
+            async def _attempt() -> None:
+                nonlocal step
+                step = await self._attempt(place, target, overdue_at)
+                if self._plan.is_answered or not is_overdue:
+                    group.cancel_scope.cancel()
+
+            group.start_soon(_attempt)
+            await anyio.sleep_until(overdue_at)
+            is_overdue = True
+            step = await self._try_targets()
+            if self._plan.is_answered:
+                group.cancel_scope.cancel()
+        return step
 
-    async def _attempt(self, place: _Place, target: targets.Entry) -> plan.Step:
-        self._plan.start_attempt(target.target_id)
+    async def _attempt(
+        self, place: _Place, target: targets.Entry, overdue_at: float
+    ) -> plan.Step:
+        """Send to one target; take in, report and note how that ended."""
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
         try:
-            attempt = await self._send(target, place.grant, started)
+            attempt = await self._parts.exchange.attempt(
+                target,
+                self._make_request(target, started),
+                self._route.work,
+                self._plan.mark_sent,
+            )
             outcome, why = OUTCOMES[attempt.result], attempt.detail
         finally:
             now = anyio.current_time()
-            is_late = now >= place.ask.deadline_at
-            if outcome is messages.Outcome.ABANDONED and is_late:
-                outcome, why = messages.Outcome.SILENT, DEADLINE
+            if outcome is messages.Outcome.ABANDONED:
+                outcome, why = self._name_breaking_off(now, overdue_at)
             self._report(place, outcome, now - started)
             self._note_attempt(place, outcome, why, now - started)
+        return self._take(attempt, target, now)
+
+    def _take(
+        self, attempt: target_client.Attempt, target: targets.Entry, now: float
+    ) -> plan.Step:
         if attempt.result is plan.Result.UNREACHABLE:
             self._parts.unreachable.note(target.target_id, now)
-        if attempt.answer is not None:
-            self._answer = attempt.answer
-        self._why = attempt.detail
+        if not self._plan.is_answered:
+            self._why = attempt.detail
+            self._answer = attempt.answer or self._answer
         return self._plan.end_attempt(attempt.result, now)
 
-    async def _send(
-        self, target: targets.Entry, grant: messages.Grant, now: float
-    ) -> target_client.Attempt:
-        left = self._plan.times.deadline_at - now
-        request = self._make_request(target, left)
-        factor = OVERDUE_FACTOR + (OVERDUE_IN_DOUBT - OVERDUE_FACTOR) * grant.doubt
-        overdue = max(LEAST_OVERDUE, factor * grant.expected)
-        may_be_overdue = (
-            self._plan.may_retry_next and left - overdue > OVERDUE_LEFT * grant.expected
-        )
-        if may_be_overdue:
-            return await self._send_until_overdue(target, request, overdue)
-        return await self._send_plainly(target, request)
-
-    async def _send_plainly(
-        self, target: targets.Entry, request: http_exchange.Request
-    ) -> target_client.Attempt:
-        return await self._parts.exchange.attempt(
-            target, request, self._route.work, self._plan.mark_sent
-        )
-
-    async def _send_until_overdue(
-        self, target: targets.Entry, request: http_exchange.Request, overdue: float
-    ) -> target_client.Attempt:
-        """Send, and break off overdue work once another target has a slot for it.
-
-        Breaking it off before would leave the request with nothing where no other
-        slot is to be had: its caller got 502 while the target was still at work.
-        """
-        ended: target_client.Attempt | None = None
-        async with anyio.create_task_group() as group:
-
-            async def _send() -> None:
-                nonlocal ended
-                ended = await self._send_plainly(target, request)
-                group.cancel_scope.cancel()
-
-            group.start_soon(_send)
-            await anyio.sleep(overdue)
-            # Kept at once: the request may end while the first attempt is broken off.
-            self._next = await self._acquire()
-            if self._next is not None:
-                group.cancel_scope.cancel()
-        if ended is not None:
-            self._release(self._next)
-            self._next = None
-            return ended
-        return target_client.Attempt(plan.Result.SILENT, None, OVERDUE)
+    def _name_breaking_off(
+        self, now: float, overdue_at: float
+    ) -> tuple[messages.Outcome, str]:
+        """Return how an attempt counts that was broken off, and why it was."""
+        if self._plan.is_answered and now >= overdue_at:
+            return messages.Outcome.SILENT, OVERDUE
+        if self._plan.is_answered:
+            return messages.Outcome.ABANDONED, OTHER_ANSWERED
+        if now >= self._plan.times.deadline_at:
+            return messages.Outcome.SILENT, DEADLINE
+        return messages.Outcome.ABANDONED, CALLER_LEFT
 
     def _make_ask(self) -> messages.Ask:
         parts, times = self._parts, self._plan.times
@@ -281,10 +293,9 @@
             excluded=tuple(sorted({*self._plan.excluded, *unreachable})),
         )
 
-    def _make_request(
-        self, target: targets.Entry, left: float
-    ) -> http_exchange.Request:
+    def _make_request(self, target: targets.Entry, now: float) -> http_exchange.Request:
         words = self._parts.words
+        left = self._plan.times.deadline_at - now
         replaced = (words.time_left, words.expected_target)
         original = self._incoming.request
         headers = [one for one in original.headers if one[0] not in replaced]
--- a/tests/edge/test_giving_up.py
+++ b/tests/edge/test_giving_up.py
@@ -1,13 +1,20 @@
 """A request at which a target is at work is given up only for an answer in hand.
 
-Its caller got 502 from a VM that was stopping, although the target was at work on the
-lookup and would have answered. 0.6 s after it was sent, the VM broke it off as overdue,
-in order to try it elsewhere; the next step failed, and there was nothing left to give:
+A caller got 502 from a VM that was stopping, although a target was at work on its
+lookup and would have answered. The work had taken four times as long as expected, so
+the VM broke it off to try another target; that failed too, and there was nothing left
+to give. Now the attempt goes on beside the second one, and the first answer ends both.
+Of the report and of the log of this test before the mend:
 
     69.247  the target begins to work
     69.320  the VM gets SIGTERM
     69.845  the work ends as cut, 598 ms after it began
     70.032  the caller gets 502, without a signature
+
+    stopping  in_flight=1
+    attempt   target=t1 outcome=silent why=overdue expected_ms=200 ms=723
+    attempt   target=t2 outcome=shed why="turned away with 503" ms=2
+    answer    status=502 why="turned away with 503" ms=726 attempts=2
 """
 
 from __future__ import annotations
--- a/tests/forwarding/test_plan.py
+++ b/tests/forwarding/test_plan.py
@@ -11,6 +11,7 @@
 from zinniastand_core.forwarding import plan
 
 Result, Step = plan.Result, plan.Step
+NOT_RUN = {Result.TURNED_AWAY, Result.MISPLACED, Result.UNREACHABLE}
 
 
 def make_plan(work: services.Work, attempts: int = 3) -> plan.Plan:
@@ -35,7 +36,7 @@
     return one.end_attempt(result, now)
 
 
-@pytest.mark.parametrize("result", [Result.BROKEN, Result.SILENT, Result.ERROR])
+@pytest.mark.parametrize("result", [Result.BROKEN, Result.ERROR])
 def test_work_that_may_have_run_goes_to_no_second_target(result: plan.Result) -> None:
     # The target took the request and gave no whole answer, or an error of its own.
     # A second target could run it again: one order would become two.
@@ -93,10 +94,90 @@
         if step is not Step.TRY_AGAIN:
             break
         step = attempt(one, result)
-        runs += result not in plan.NOT_RUN
+        runs += result not in NOT_RUN
     assert one.sent <= most
     if work is services.Work.AT_MOST_ONCE:
         assert runs <= 1
     final = one.give_up() if step is Step.TRY_AGAIN else step
     if final is Step.SAY_NOT_RUN:
         assert runs == 0
+
+
+def start(one: plan.Plan) -> None:
+    one.start_attempt(f"t{one.attempts}")
+    one.mark_sent()
+
+
+@pytest.mark.parametrize(
+    "result", [Result.TURNED_AWAY, Result.MISPLACED, Result.BROKEN, Result.ERROR]
+)
+def test_attempt_under_way_is_waited_for_when_its_backup_fails(
+    result: plan.Result,
+) -> None:
+    # Idempotent work is overdue at one target, and the next one fails it. The first is
+    # still at work: an error given now would be false, since its answer may come.
+    one = make_plan(services.Work.IDEMPOTENT, attempts=2)
+    start(one)
+    start(one)
+    assert one.end_attempt(result, now=0.3) is Step.WAIT
+    assert one.end_attempt(Result.ANSWERED, now=0.4) is Step.RELAY
+
+
+def test_attempt_under_way_is_waited_for_when_no_backup_is_to_be_had() -> None:
+    one = make_plan(services.Work.IDEMPOTENT, attempts=2)
+    start(one)
+    assert one.give_up() is Step.WAIT
+    assert one.end_attempt(Result.BROKEN, now=0.3) is Step.TRY_AGAIN
+
+
+def test_answer_stays_the_answer_when_another_attempt_fails_after_it() -> None:
+    one = make_plan(services.Work.IDEMPOTENT, attempts=3)
+    start(one)
+    start(one)
+    assert one.end_attempt(Result.ANSWERED, now=0.3) is Step.RELAY
+    assert one.end_attempt(Result.BROKEN, now=0.3) is Step.RELAY
+
+
+def test_deadline_ends_a_request_with_an_attempt_under_way() -> None:
+    one = make_plan(services.Work.IDEMPOTENT)
+    start(one)
+    assert one.expire() is Step.SAY_UNKNOWN
+
+
+@hypothesis.given(
+    most=st.integers(1, 4),
+    moves=st.lists(
+        st.one_of(st.just(None), st.tuples(st.integers(0, 3), st.sampled_from(Result))),
+        max_size=16,
+    ),
+)
+def test_no_answer_of_our_own_while_an_attempt_is_under_way(
+    most: int, moves: list[tuple[int, plan.Result] | None]
+) -> None:
+    # A move without a result starts one more attempt, the others end one of those that
+    # are under way, in any order.
+    one = make_plan(services.Work.IDEMPOTENT, most)
+    under_way = 0
+    runs = 0
+    for move in moves:
+        if one.is_answered:
+            break
+        if move is None:
+            if one.sent < most:
+                start(one)
+                under_way += 1
+                runs += 1
+            step = one.give_up() if under_way else Step.TRY_AGAIN
+        elif under_way:
+            under_way -= 1
+            runs -= move[1] in NOT_RUN
+            step = one.end_attempt(move[1], now=0.1)
+        else:
+            continue
+        if under_way and not one.is_answered:
+            assert step in (Step.WAIT, Step.TRY_AGAIN)
+        if step is Step.SAY_NOT_RUN:
+            assert runs == 0
+    if one.expire() is Step.SAY_NOT_RUN:
+        assert runs == 0
+    assert one.sent <= most
