Wait for a target at work behind a late answer to another request

Callers got 502 while a target was at work on their request: a late answer to an earlier request came first on the connection, and the connection was closed at it, which ends the work at most targets. With a long body, the late answer also stopped the sending of the body.

Cause: only bytes that had already come behind such an answer were read on; where there were none, or the body was still on its way, the exchange ended as broken.

The exchange now reads on, on the same connection and with the sending going on, past at most three answers that name another request. Ruled out: reading past an answer without an end or past bytes that are no answer; what follows could not be told from it. A connection on which a late answer announced its close is not kept.

The client counts the answers that it read past in `foreign`.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
@@ -20,6 +20,10 @@
 MOST_HEAD_BYTES = 65_536
 """Largest head of an answer; targets send a few hundred bytes."""
 
+MOST_FOREIGN = 3
+"""Answers to other requests that are read past before a connection is given up. A
+target that sends nothing else would hold a request until its deadline."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -79,6 +83,17 @@
     return None
 
 
+def await_answer(request: Request) -> h11.Connection:
+    """Return a client engine that awaits an answer, with nothing to send."""
+    engine = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES)
+    head = h11.Request(
+        method=request.method, target=request.path, headers=[(b"host", b"-")]
+    )
+    engine.send(head)
+    engine.send(h11.EndOfMessage())
+    return engine
+
+
 def encode_request(request: Request) -> tuple[h11.Connection, bytes]:
     """Return a client engine that awaits the answer, and the bytes to send."""
     engine = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES)
@@ -102,16 +117,32 @@
         The connection.
     request : Request
         What to send.
+    echo : bytes, optional
+        The header by which an answer names its request. Without it, the first answer
+        is taken for this request's.
     """
 
-    def __init__(self, stream: anyio.abc.ByteStream, request: Request) -> None:
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        request: Request,
+        echo: bytes | None = None,
+    ) -> None:
         self._stream = stream
         self._request = request
+        self._echo = echo
         self._engine, self._data = encode_request(request)
         self._is_sent = False
+        self._is_closing = False
+        self.foreign = 0
 
     async def run(self) -> Answer:
-        """Send the request and return the answer.
+        """Send the request and return its answer.
+
+        Answers to other requests that come first are read past, on the same
+        connection: closing it would end the work on this request. One whose end cannot
+        be told from what follows breaks the connection, since bytes of it could be
+        taken for an answer.
 
         A target may answer before it has read a long body. Sending and reading
         therefore go on at the same time; where the answer comes first, the connection
@@ -124,12 +155,12 @@
         """
         if len(self._data) <= READ_BYTES // 4:
             await self._send()
-            return await self._read()
+            return await self._read_own()
         ended: Answer | BrokenAnswerError = BrokenAnswerError("cancelled")
         async with anyio.create_task_group() as group:
             group.start_soon(self._send_quietly)
             try:
-                ended = await self._read()
+                ended = await self._read_own()
             except BrokenAnswerError as error:
                 ended = error  # A task group would wrap it in a group.
             group.cancel_scope.cancel()
@@ -140,11 +171,28 @@
             return dataclasses.replace(answer, is_reusable=False)
         return answer
 
-    async def read_next(self, trailing: bytes) -> Answer:
-        """Return the answer that follows one which belongs to another request."""
-        self._engine, _ = encode_request(self._request)
-        self._engine.receive_data(trailing)
-        return await self._read()
+    async def _read_own(self) -> Answer:
+        """Return the first answer that names no other request."""
+        answer = await self._read()
+        while self._is_foreign(answer):
+            self.foreign += 1
+            if self.foreign > MOST_FOREIGN:
+                raise BrokenAnswerError("too many answers to other requests")
+            if self._engine.their_state is not h11.DONE:
+                self._is_closing = True
+            self._engine = await_answer(self._request)
+            if answer.trailing:  # h11 takes empty bytes for the connection's end.
+                self._engine.receive_data(answer.trailing)
+            answer = await self._read()
+        return answer
+
+    def _is_foreign(self, answer: Answer) -> bool:
+        if self._echo is None:
+            return False
+        echo = answer.find(self._echo)
+        return echo is not None and echo != find_header(
+            self._request.headers, self._echo
+        )
 
     async def _send(self) -> None:
         try:
@@ -204,6 +252,7 @@
             and self._engine.our_state is h11.DONE
             and not trailing
             and not is_closed
+            and not self._is_closing
         )
         headers = [(bytes(name), bytes(value)) for name, value in head.headers]
         return Answer(head.status_code, headers, body, is_reusable, bytes(trailing))
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -40,9 +40,6 @@
 """Milliseconds after which the kernel gives up a connection whose data nobody
 acknowledges (TCP_USER_TIMEOUT), so that a silent one frees its socket."""
 
-MOST_FOREIGN = 3
-"""Answers to other requests that are read past before a connection is given up."""
-
 LEAST_SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 MISPLACED_STATUS = 421
@@ -87,6 +84,7 @@
         self._words = words
         self._idle: dict[str, collections.deque[_Connection]] = {}
         self.opened = 0
+        self.foreign = 0
 
     async def attempt(
         self,
@@ -143,17 +141,13 @@
         connection: _Connection,
         request: http_exchange.Request,
     ) -> Attempt:
-        exchange = http_exchange.Exchange(connection.stream, request)
-        wanted = http_exchange.find_header(request.headers, self._words.request_id)
+        exchange = http_exchange.Exchange(
+            connection.stream, request, self._words.request_id
+        )
         is_kept = False
         try:
             answer = await exchange.run()
-            for _ in range(MOST_FOREIGN):
-                echo = answer.find(self._words.request_id)
-                if echo is None or echo == wanted or not answer.trailing:
-                    break
-                answer = await exchange.read_next(answer.trailing)
-            attempt = self._judge(answer, wanted)
+            attempt = self._judge(answer)
             if attempt.result is plan.Result.BROKEN or not answer.is_reusable:
                 return attempt
             is_kept = self._keep(target, connection, answer)
@@ -161,14 +155,13 @@
         except http_exchange.BrokenAnswerError as error:
             return Attempt(plan.Result.BROKEN, None, str(error))
         finally:
+            self.foreign += exchange.foreign
             if not is_kept:
                 await _close(connection)
 
-    def _judge(self, answer: http_exchange.Answer, wanted: bytes | None) -> Attempt:
-        """Tell a target's whole answer to this request from anything else."""
+    def _judge(self, answer: http_exchange.Answer) -> Attempt:
+        """Tell what an answer that names no other request means for this one."""
         echo = answer.find(self._words.request_id)
-        if echo is not None and echo != wanted:
-            return Attempt(plan.Result.BROKEN, None, "an answer to another request")
         status = answer.status
         if answer.find(self._words.not_run) is not None or status == MISPLACED_STATUS:
             if status == MISPLACED_STATUS:
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -22,6 +22,7 @@
 ]
 HEAD = b"X-Request-Id: id-1\r\nX-Server-Seal: s\r\n"
 GOOD = b"HTTP/1.1 200 OK\r\n" + HEAD + b"Content-Length: 2\r\n\r\nok"
+LATE = GOOD.replace(b"id-1", b"id-0")
 
 
 @contextlib.asynccontextmanager
@@ -95,7 +96,7 @@
     "encoded": b"HTTP/1.1 200 OK\r\n"
     + HEAD
     + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-    "foreign": GOOD.replace(b"id-1", b"id-0"),
+    "foreign": LATE,
     "busy without proof": b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
 }
 
@@ -141,15 +142,79 @@
 async def test_late_answer_to_an_earlier_request_is_read_past() -> None:
     # A target sends a second answer to an earlier request just where the next one is
     # expected. Relayed, it would give one caller another's answer.
-    late = GOOD.replace(b"id-1", b"id-0")
-    async with run_target(answer_with(late + GOOD)) as target:
+    async with run_target(answer_with(LATE + GOOD)) as target:
         found = await attempt(target)
     assert found.result is plan.Result.ANSWERED
 
 
+async def test_target_at_work_is_waited_for_behind_a_late_answer() -> None:
+    # The caller got 502 while the target was at work on the request. A late answer to
+    # an earlier request came first, with nothing behind it yet; the connection was
+    # closed at that, which ended the work.
+    was_left = False
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal was_left
+        await stream.receive()
+        await stream.send(LATE)
+        with anyio.move_on_after(0.2):
+            await stream.receive()
+            was_left = True
+        await stream.send(GOOD)
+        await anyio.sleep(0.3)
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        found = await attempt(target, client)
+    assert found.result is plan.Result.ANSWERED
+    assert not was_left
+    assert client.foreign == 1
+
+
+async def test_late_answer_does_not_stop_the_sending_of_a_long_body() -> None:
+    # The caller got 502 for a long request. A late answer to an earlier request ended
+    # its sending, so that the target never got the whole of it.
+    body = b"x" * 5_000_000
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        got = len(await stream.receive(1000))
+        await stream.send(LATE)
+        while got < len(body):
+            got += len(await stream.receive())
+        await stream.send(GOOD)
+        await anyio.sleep(0.3)
+
+    async with run_target(script) as target:
+        found = await attempt(target, body=body)
+    assert found.result is plan.Result.ANSWERED
+
+
+async def test_connection_that_a_late_answer_says_to_close_is_not_kept() -> None:
+    # The target may still answer on it what it has begun. Another request on it would
+    # meet the announced close.
+    late = LATE.replace(b"Content-Length", b"Connection: close\r\nContent-Length")
+    async with run_target(answer_with(late + GOOD, GOOD)) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        for _ in range(2):
+            found = await attempt(target, client)
+            assert found.result is plan.Result.ANSWERED
+        assert client.opened == 2
+
+
+async def test_nothing_is_read_past_answers_without_end() -> None:
+    # A target that sends nothing but answers to others would hold the request until
+    # its deadline, and none of those answers may reach the caller.
+    most = http_exchange.MOST_FOREIGN
+    async with run_target(answer_with(LATE * most + GOOD)) as target:
+        assert (await attempt(target)).result is plan.Result.ANSWERED
+    async with run_target(answer_with(LATE * (most + 1) + GOOD)) as target:
+        found = await attempt(target)
+    assert found.result is plan.Result.BROKEN
+    assert found.answer is None
+
+
 async def test_bytes_after_an_answer_end_its_connection() -> None:
-    extra = GOOD.replace(b"id-1", b"id-0")
-    async with run_target(answer_with(GOOD + extra, GOOD)) as target:
+    async with run_target(answer_with(GOOD + LATE, GOOD)) as target:
         client = target_client.TargetClient(words.HEADERS)
         for _ in range(2):
             found = await attempt(target, client)
