Don't say of a twice sent lookup that it has not run

Callers were told that their lookup had not run (503) where a target may have run it: it was broken off on a kept connection, sent again on a new one, and turned away there.

Cause: the result of the second sending stood for both. A second sending without a connection was already right, and has its own detail now.

The result is now broken, with the details of both. Cost: the target counts as failing once, not as full or as another target's address.

Run: tests/edge/test_target_client.py, the two cases of the second sending failed before, all pass after.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -118,9 +118,24 @@
             and work is services.Work.IDEMPOTENT
         ):
             # An idle connection may be gone without the target being at fault.
-            connection = await self._connect(target)
-            if connection is not None:
-                return await self._exchange(target, connection, request)
+            return await self._send_again(target, request, attempt.detail)
+        return attempt
+
+    async def _send_again(
+        self, target: targets.Entry, request: http_exchange.Request, first: str
+    ) -> Attempt:
+        """Send a request once more, on a new connection.
+
+        What the target says of this sending proves nothing of the first, which may
+        have run.
+        """
+        connection = await self._connect(target)
+        if connection is None:
+            return Attempt(plan.Result.BROKEN, None, f"{first}, then no connection")
+        attempt = await self._exchange(target, connection, request)
+        if attempt.result in plan.NOT_RUN:
+            detail = f"{first}, then {attempt.detail}"
+            return Attempt(plan.Result.BROKEN, None, detail)
         return attempt
 
     async def close_idle(self, now: float) -> None:
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -270,6 +270,52 @@
         assert (await attempt(target, client, work)).result is plan.Result.ANSWERED
 
 
+@pytest.mark.parametrize("status", [b"503", b"421"])
+async def test_proof_for_a_second_sending_does_not_cover_the_first(
+    status: bytes,
+) -> None:
+    # The caller was told that its lookup had not run, and a target had run it. The
+    # target broke off on a kept connection, the lookup was sent again on a new one and
+    # turned away there: that proves nothing of the first sending.
+    shed = b"HTTP/1.1 %b No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    connections = 0
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        await stream.receive()
+        await stream.send(GOOD if connections == 1 else shed % status)
+        await stream.receive()
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        work = services.Work.IDEMPOTENT
+        await attempt(target, client, work)
+        found = await attempt(target, client, work)
+    assert connections == 2
+    assert found.result is plan.Result.BROKEN
+    assert "then" in found.detail
+
+
+async def test_target_that_is_gone_after_a_first_sending_may_have_run_it() -> None:
+    # A target breaks off a lookup on a kept connection, and can't be connected to for
+    # the second sending. "Unreachable" would promise that nothing was sent.
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(GOOD)
+        await stream.receive()
+
+    async with run_target(answer_with(GOOD)) as gone:
+        pass
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        work = services.Work.IDEMPOTENT
+        assert (await attempt(target, client, work)).result is plan.Result.ANSWERED
+        found = await attempt(gone, client, work)
+    assert found.result is plan.Result.BROKEN
+    assert "then" in found.detail
+
+
 async def test_proof_of_not_having_run_is_told_apart() -> None:
     shed = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
     other = b"HTTP/1.1 421 No\r\nX-Instance-Id: t9\r\nContent-Length: 0\r\n\r\n"
