Give HEAD a connection of its own

Callers got 502 while a target was at work: on a kept connection a late answer to GET came before the one to HEAD, or the other way round, and was read to the wrong end.

Cause: where an answer ends depends on the method of the request that it answers, and only the method of the present request is known to the reader. Ruled out: remembering the methods of a connection; a late answer does not say which of them it is for before its end has to be known.

Cost: a new connection for each HEAD request; other methods pay nothing.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -40,6 +40,10 @@
 """Milliseconds after which the kernel gives up a connection whose data nobody
 acknowledges (TCP_USER_TIMEOUT), so that a silent one frees its socket."""
 
+UNSHARED_METHOD = b"HEAD"
+"""Method whose answers end elsewhere than all others: at their head, whatever length it
+states. A late answer to it, or before it, would be read to the wrong end."""
+
 LEAST_SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 MISPLACED_STATUS = 421
@@ -106,7 +110,7 @@
         mark_sent : callable
             Called just before the first byte is handed to a connection.
         """
-        connection = await self._take(target, work)
+        connection = await self._take(target, request, work)
         if connection is None:
             return Attempt(plan.Result.UNREACHABLE, None, "no connection")
         was_pooled = not connection.is_new
@@ -163,9 +167,12 @@
         try:
             answer = await exchange.run()
             attempt = self._judge(answer)
-            if attempt.result is plan.Result.BROKEN or not answer.is_reusable:
-                return attempt
-            is_kept = self._keep(target, connection, answer)
+            is_kept = (
+                attempt.result is not plan.Result.BROKEN
+                and answer.is_reusable
+                and request.method != UNSHARED_METHOD
+                and self._keep(target, connection, answer)
+            )
             return attempt
         except http_exchange.BrokenAnswerError as error:
             return Attempt(plan.Result.BROKEN, None, str(error))
@@ -213,8 +220,13 @@
         return True
 
     async def _take(
-        self, target: targets.Entry, work: services.Work
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
     ) -> _Connection | None:
+        if request.method == UNSHARED_METHOD:
+            return await self._connect(target)
         now = anyio.current_time()
         idle = self._idle.get(target.target_id)
         while idle:
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 
 import anyio
 import anyio.abc
@@ -75,10 +76,12 @@
     client: target_client.TargetClient | None = None,
     work: services.Work = services.Work.AT_MOST_ONCE,
     body: bytes = b"",
+    method: bytes = b"POST",
 ) -> target_client.Attempt:
     client = client or target_client.TargetClient(words.HEADERS)
+    request = dataclasses.replace(make_request(body), method=method)
     with anyio.fail_after(5.0):
-        return await client.attempt(target, make_request(body), work, lambda: None)
+        return await client.attempt(target, request, work, lambda: None)
 
 
 async def test_whole_signed_answer_counts() -> None:
@@ -201,6 +204,34 @@
         assert client.opened == 2
 
 
+@pytest.mark.parametrize("methods", [(b"GET", b"HEAD"), (b"HEAD", b"GET")])
+async def test_answer_without_body_shares_no_connection(
+    methods: tuple[bytes, bytes],
+) -> None:
+    # The caller got 502 while its target was at work. Where an answer ends depends on
+    # the request that it answers: HEAD gets a length and no body. A late answer to GET
+    # before that to HEAD, or the other way round, is read to the wrong end.
+    answers = {b"GET": GOOD, b"HEAD": GOOD.removesuffix(b"ok")}
+    late = {method: one.replace(b"id-1", b"id-0") for method, one in answers.items()}
+    last = b""
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal last
+        before = b""
+        while True:
+            method, _, _ = (await stream.receive()).partition(b" ")
+            await stream.send((late[before] if before else b"") + answers[method])
+            before = last = method
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        for method in methods:
+            found = await attempt(target, client, method=method)
+            assert found.result is plan.Result.ANSWERED
+    assert last == methods[-1]
+    assert client.opened == 2
+
+
 async def test_nothing_is_read_past_answers_without_end() -> None:
     # A target that sends nothing but answers to others would hold the request until
     # its deadline, and none of those answers may reach the caller.
