Freeze the record of a kept connection

Nothing changes for callers. A connection that is kept is now a new record, which says itself what work it may carry, in place of one that was changed in four places.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -65,14 +65,29 @@
     """What happened, for the log."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
     """A connection to a target, and until when it may be used."""
 
     stream: anyio.abc.ByteStream
-    proved_until: float = 0.0
+    """The connection."""
+
+    answered_at: float | None = None
+    """When its last answer was whole; None where it has carried no request yet."""
+
     idle_until: float = 0.0
-    is_new: bool = True
+    """Until when it may carry another request."""
+
+    @property
+    def is_new(self) -> bool:
+        """Whether it has carried no request yet."""
+        return self.answered_at is None
+
+    def may_carry(self, work: services.Work, now: float) -> bool:
+        """Return whether an idle connection may carry work."""
+        if self.answered_at is None or now >= self.idle_until:
+            return False
+        return work is services.Work.IDEMPOTENT or now < self.answered_at + PROVED_FOR
 
 
 class TargetClient:
@@ -213,10 +228,8 @@
         if len(idle) >= MOST_IDLE:
             return False
         now = anyio.current_time()
-        connection.is_new = False
-        connection.proved_until = now + PROVED_FOR
-        connection.idle_until = now + min(IDLE_FOR, _find_idle_limit(answer))
-        idle.append(connection)
+        idle_until = now + min(IDLE_FOR, _find_idle_limit(answer))
+        idle.append(_Connection(connection.stream, now, idle_until))
         return True
 
     async def _take(
@@ -231,12 +244,7 @@
         idle = self._idle.get(target.target_id)
         while idle:
             connection = idle.pop()
-            usable_until = (
-                connection.idle_until
-                if work is services.Work.IDEMPOTENT
-                else min(connection.proved_until, connection.idle_until)
-            )
-            if usable_until > now and not _has_input(connection.stream):
+            if connection.may_carry(work, now) and not _has_input(connection.stream):
                 return connection
             await _close(connection)
         return await self._connect(target)
