Count answers that name no request on kept connections

Nothing changes for callers. The client counts in `unnamed` how often it takes a failure without an id for the answer to the present request on a connection that has carried others; nothing proves that it is. A signed success without an id has a detail of its own now; it was told as one without signature.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -97,6 +97,16 @@
     ----------
     words : vocabulary.Vocabulary
         Headers of the platform.
+
+    Attributes
+    ----------
+    opened : int
+        Connections that were tried to open.
+    foreign : int
+        Answers to other requests that were read past.
+    unnamed : int
+        Answers on kept connections that name no request. Each is taken for the answer
+        to the present request, which nothing proves.
     """
 
     def __init__(self, words: vocabulary.Vocabulary) -> None:
@@ -104,6 +114,7 @@
         self._idle: dict[str, collections.deque[_Connection]] = {}
         self.opened = 0
         self.foreign = 0
+        self.unnamed = 0
 
     async def attempt(
         self,
@@ -182,6 +193,8 @@
         try:
             answer = await exchange.run()
             attempt = self._judge(answer)
+            if not connection.is_new and answer.find(self._words.request_id) is None:
+                self.unnamed += 1
             is_kept = (
                 attempt.result is not plan.Result.BROKEN
                 and answer.is_reusable
@@ -207,7 +220,11 @@
         if answer.find(b"content-encoding") is not None:
             return Attempt(plan.Result.BROKEN, None, "an encoded body")
         if status in SUCCESS:
-            if echo is None or answer.find(self._words.signature) is None:
+            if echo is None:
+                return Attempt(
+                    plan.Result.BROKEN, None, "a success that names no request"
+                )
+            if answer.find(self._words.signature) is None:
                 return Attempt(plan.Result.BROKEN, None, "a success without signature")
             return Attempt(plan.Result.ANSWERED, answer, str(status))
         if status in PROMISING_STATUSES:
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -114,6 +114,27 @@
     assert found.answer is None
 
 
+async def test_success_that_names_no_request_has_a_detail_of_its_own() -> None:
+    # A signed success without the request's id may be anybody's. Told as unsigned, it
+    # would send whoever reads the log to look at the target's signature.
+    unnamed = GOOD.replace(b"X-Request-Id: id-1\r\n", b"")
+    async with run_target(answer_with(unnamed)) as target:
+        found = await attempt(target)
+    assert found.result is plan.Result.BROKEN
+    assert found.detail == "a success that names no request"
+
+
+async def test_answers_that_name_no_request_are_counted_on_kept_connections() -> None:
+    # On a new connection only this request can be meant. On a kept one, a failure
+    # without an id is taken for this request's, which nothing proves.
+    unnamed = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+    async with run_target(answer_with(unnamed, unnamed, GOOD)) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        found = [(await attempt(target, client)).result for _ in range(3)]
+    assert found == [plan.Result.ERROR, plan.Result.ERROR, plan.Result.ANSWERED]
+    assert client.unnamed == 1
+
+
 async def test_answer_without_length_counts_when_its_connection_ends_in_order() -> None:
     async def script(stream: anyio.abc.SocketStream) -> None:
         await stream.receive()
