Show that framings without a body and a cancelled wait are right

HEAD, 304, HTTP/1.0, a status without reason and folded headers give whole answers; a wait behind a late answer ends its connection when its request ends.

--- a/tests/edge/test_http_exchange.py
+++ b/tests/edge/test_http_exchange.py
@@ -102,6 +102,27 @@
         await make_exchange(played, b"CONNECT").run()
 
 
+NAMED = b"X-Request-Id: id-1\r\n"
+WHOLE = {
+    "head": (b"HEAD", b"HTTP/1.1 200 OK\r\n" + NAMED + b"Content-Length: 9\r\n\r\n"),
+    "304": (b"GET", b"HTTP/1.1 304 Same\r\n" + NAMED + b"Content-Length: 9\r\n\r\n"),
+    "no reason": (b"GET", b"HTTP/1.1 200\r\n" + NAMED + b"Content-Length: 0\r\n\r\n"),
+    "HTTP/1.0": (b"GET", b"HTTP/1.0 200 OK\r\n" + NAMED + b"\r\n"),
+    "folded": (
+        b"GET",
+        b"HTTP/1.1 200 OK\r\nX: a\r\n b\r\n" + NAMED + b"Content-Length: 0\r\n\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("name", WHOLE)
+async def test_whole_answer_without_body_counts_however_it_is_framed(name: str) -> None:
+    # The caller would get 502, or wait until its deadline for a body that never comes.
+    method, data = WHOLE[name]
+    answer = await make_exchange(Played((data,)), method).run()
+    assert answer.body == b""
+
+
 GIVEN_UP = {
     "closed before an answer": Played(()),
     "reset before an answer": Played((), is_reset=True),
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -195,6 +195,34 @@
     assert client.foreign == 1
 
 
+async def test_waiting_behind_a_late_answer_ends_with_its_request() -> None:
+    # A caller has left, or its deadline has come, while the proxy reads on behind a
+    # late answer. The connection must end at once: the target would work on for
+    # nobody, and its answer would meet the next request.
+    ended = anyio.Event()
+    late_sent = anyio.Event()
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(LATE)
+        late_sent.set()
+        try:
+            await stream.receive()
+        finally:
+            ended.set()
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(attempt, target, client)
+            await late_sent.wait()
+            await anyio.sleep(0.1)
+            assert not ended.is_set()
+            group.cancel_scope.cancel()
+        with anyio.fail_after(5.0):
+            await ended.wait()
+
+
 async def test_late_answer_does_not_stop_the_sending_of_a_long_body() -> None:
     # The caller got 502 for a long request. A late answer to an earlier request ended
     # its sending, so that the target never got the whole of it.
