--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
@@ -120,6 +120,11 @@
     echo : bytes, optional
         The header by which an answer names its request. Without it, the first answer
         is taken for this request's.
+
+    Attributes
+    ----------
+    foreign : int
+        Answers to other requests that came so far.
     """
 
     def __init__(
