--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -40,8 +40,9 @@
 """Milliseconds after which the kernel gives up a connection whose data nobody
 acknowledges (TCP_USER_TIMEOUT), so that a silent one frees its socket."""
 
-MOST_FOREIGN = 3
-"""Answers to other requests that are read past before a connection is given up."""
+UNSHARED_METHOD = b"HEAD"
+"""Method whose answers end elsewhere than all others: at their head, whatever length it
+states. A late answer to it, or before it, would be read to the wrong end."""
 
 LEAST_SERVER_ERROR = 500
 SUCCESS = range(200, 300)
@@ -64,14 +65,29 @@
     """What happened, for the log."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
     """A connection to a target, and until when it may be used."""
 
     stream: anyio.abc.ByteStream
-    proved_until: float = 0.0
+    """The connection."""
+
+    answered_at: float | None = None
+    """When its last answer was whole; None where it has carried no request yet."""
+
     idle_until: float = 0.0
-    is_new: bool = True
+    """Until when it may carry another request."""
+
+    @property
+    def is_new(self) -> bool:
+        """Whether it has carried no request yet."""
+        return self.answered_at is None
+
+    def may_carry(self, work: services.Work, now: float) -> bool:
+        """Return whether an idle connection may carry work."""
+        if self.answered_at is None or now >= self.idle_until:
+            return False
+        return work is services.Work.IDEMPOTENT or now < self.answered_at + PROVED_FOR
 
 
 class TargetClient:
@@ -81,12 +97,24 @@
     ----------
     words : vocabulary.Vocabulary
         Headers of the platform.
+
+    Attributes
+    ----------
+    opened : int
+        Connections that were tried to open.
+    foreign : int
+        Answers to other requests that were read past.
+    unnamed : int
+        Answers on kept connections that name no request. Each is taken for the answer
+        to the present request, which nothing proves.
     """
 
     def __init__(self, words: vocabulary.Vocabulary) -> None:
         self._words = words
         self._idle: dict[str, collections.deque[_Connection]] = {}
         self.opened = 0
+        self.foreign = 0
+        self.unnamed = 0
 
     async def attempt(
         self,
@@ -108,7 +136,7 @@
         mark_sent : callable
             Called just before the first byte is handed to a connection.
         """
-        connection = await self._take(target, work)
+        connection = await self._take(target, request, work)
         if connection is None:
             return Attempt(plan.Result.UNREACHABLE, None, "no connection")
         was_pooled = not connection.is_new
@@ -120,9 +148,24 @@
             and work is services.Work.IDEMPOTENT
         ):
             # An idle connection may be gone without the target being at fault.
-            connection = await self._connect(target)
-            if connection is not None:
-                return await self._exchange(target, connection, request)
+            return await self._send_again(target, request, attempt.detail)
+        return attempt
+
+    async def _send_again(
+        self, target: targets.Entry, request: http_exchange.Request, first: str
+    ) -> Attempt:
+        """Send a request once more, on a new connection.
+
+        What the target says of this sending proves nothing of the first, which may
+        have run.
+        """
+        connection = await self._connect(target)
+        if connection is None:
+            return Attempt(plan.Result.BROKEN, None, f"{first}, then no connection")
+        attempt = await self._exchange(target, connection, request)
+        if attempt.result in plan.NOT_RUN:
+            detail = f"{first}, then {attempt.detail}"
+            return Attempt(plan.Result.BROKEN, None, detail)
         return attempt
 
     async def close_idle(self, now: float) -> None:
@@ -143,32 +186,32 @@
         connection: _Connection,
         request: http_exchange.Request,
     ) -> Attempt:
-        exchange = http_exchange.Exchange(connection.stream, request)
-        wanted = http_exchange.find_header(request.headers, self._words.request_id)
+        exchange = http_exchange.Exchange(
+            connection.stream, request, self._words.request_id
+        )
         is_kept = False
         try:
             answer = await exchange.run()
-            for _ in range(MOST_FOREIGN):
-                echo = answer.find(self._words.request_id)
-                if echo is None or echo == wanted or not answer.trailing:
-                    break
-                answer = await exchange.read_next(answer.trailing)
-            attempt = self._judge(answer, wanted)
-            if attempt.result is plan.Result.BROKEN or not answer.is_reusable:
-                return attempt
-            is_kept = self._keep(target, connection, answer)
+            attempt = self._judge(answer)
+            if not connection.is_new and answer.find(self._words.request_id) is None:
+                self.unnamed += 1
+            is_kept = (
+                attempt.result is not plan.Result.BROKEN
+                and answer.is_reusable
+                and request.method != UNSHARED_METHOD
+                and self._keep(target, connection, answer)
+            )
             return attempt
         except http_exchange.BrokenAnswerError as error:
             return Attempt(plan.Result.BROKEN, None, str(error))
         finally:
+            self.foreign += exchange.foreign
             if not is_kept:
                 await _close(connection)
 
-    def _judge(self, answer: http_exchange.Answer, wanted: bytes | None) -> Attempt:
-        """Tell a target's whole answer to this request from anything else."""
+    def _judge(self, answer: http_exchange.Answer) -> Attempt:
+        """Tell what an answer that names no other request means for this one."""
         echo = answer.find(self._words.request_id)
-        if echo is not None and echo != wanted:
-            return Attempt(plan.Result.BROKEN, None, "an answer to another request")
         status = answer.status
         if answer.find(self._words.not_run) is not None or status == MISPLACED_STATUS:
             if status == MISPLACED_STATUS:
@@ -177,7 +220,11 @@
         if answer.find(b"content-encoding") is not None:
             return Attempt(plan.Result.BROKEN, None, "an encoded body")
         if status in SUCCESS:
-            if echo is None or answer.find(self._words.signature) is None:
+            if echo is None:
+                return Attempt(
+                    plan.Result.BROKEN, None, "a success that names no request"
+                )
+            if answer.find(self._words.signature) is None:
                 return Attempt(plan.Result.BROKEN, None, "a success without signature")
             return Attempt(plan.Result.ANSWERED, answer, str(status))
         if status in PROMISING_STATUSES:
@@ -198,25 +245,23 @@
         if len(idle) >= MOST_IDLE:
             return False
         now = anyio.current_time()
-        connection.is_new = False
-        connection.proved_until = now + PROVED_FOR
-        connection.idle_until = now + min(IDLE_FOR, _find_idle_limit(answer))
-        idle.append(connection)
+        idle_until = now + min(IDLE_FOR, _find_idle_limit(answer))
+        idle.append(_Connection(connection.stream, now, idle_until))
         return True
 
     async def _take(
-        self, target: targets.Entry, work: services.Work
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
     ) -> _Connection | None:
+        if request.method == UNSHARED_METHOD:
+            return await self._connect(target)
         now = anyio.current_time()
         idle = self._idle.get(target.target_id)
         while idle:
             connection = idle.pop()
-            usable_until = (
-                connection.idle_until
-                if work is services.Work.IDEMPOTENT
-                else min(connection.proved_until, connection.idle_until)
-            )
-            if usable_until > now and not _has_input(connection.stream):
+            if connection.may_carry(work, now) and not _has_input(connection.stream):
                 return connection
             await _close(connection)
         return await self._connect(target)
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 
 import anyio
 import anyio.abc
@@ -22,6 +23,7 @@
 ]
 HEAD = b"X-Request-Id: id-1\r\nX-Server-Seal: s\r\n"
 GOOD = b"HTTP/1.1 200 OK\r\n" + HEAD + b"Content-Length: 2\r\n\r\nok"
+LATE = GOOD.replace(b"id-1", b"id-0")
 
 
 @contextlib.asynccontextmanager
@@ -74,10 +76,12 @@
     client: target_client.TargetClient | None = None,
     work: services.Work = services.Work.AT_MOST_ONCE,
     body: bytes = b"",
+    method: bytes = b"POST",
 ) -> target_client.Attempt:
     client = client or target_client.TargetClient(words.HEADERS)
+    request = dataclasses.replace(make_request(body), method=method)
     with anyio.fail_after(5.0):
-        return await client.attempt(target, make_request(body), work, lambda: None)
+        return await client.attempt(target, request, work, lambda: None)
 
 
 async def test_whole_signed_answer_counts() -> None:
@@ -95,7 +99,7 @@
     "encoded": b"HTTP/1.1 200 OK\r\n"
     + HEAD
     + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-    "foreign": GOOD.replace(b"id-1", b"id-0"),
+    "foreign": LATE,
     "busy without proof": b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
 }
 
@@ -110,6 +114,27 @@
     assert found.answer is None
 
 
+async def test_success_that_names_no_request_has_a_detail_of_its_own() -> None:
+    # A signed success without the request's id may be anybody's. Told as unsigned, it
+    # would send whoever reads the log to look at the target's signature.
+    unnamed = GOOD.replace(b"X-Request-Id: id-1\r\n", b"")
+    async with run_target(answer_with(unnamed)) as target:
+        found = await attempt(target)
+    assert found.result is plan.Result.BROKEN
+    assert found.detail == "a success that names no request"
+
+
+async def test_answers_that_name_no_request_are_counted_on_kept_connections() -> None:
+    # On a new connection only this request can be meant. On a kept one, a failure
+    # without an id is taken for this request's, which nothing proves.
+    unnamed = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+    async with run_target(answer_with(unnamed, unnamed, GOOD)) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        found = [(await attempt(target, client)).result for _ in range(3)]
+    assert found == [plan.Result.ERROR, plan.Result.ERROR, plan.Result.ANSWERED]
+    assert client.unnamed == 1
+
+
 async def test_answer_without_length_counts_when_its_connection_ends_in_order() -> None:
     async def script(stream: anyio.abc.SocketStream) -> None:
         await stream.receive()
@@ -141,15 +166,135 @@
 async def test_late_answer_to_an_earlier_request_is_read_past() -> None:
     # A target sends a second answer to an earlier request just where the next one is
     # expected. Relayed, it would give one caller another's answer.
-    late = GOOD.replace(b"id-1", b"id-0")
-    async with run_target(answer_with(late + GOOD)) as target:
+    async with run_target(answer_with(LATE + GOOD)) as target:
         found = await attempt(target)
     assert found.result is plan.Result.ANSWERED
 
 
+async def test_target_at_work_is_waited_for_behind_a_late_answer() -> None:
+    # The caller got 502 while the target was at work on the request. A late answer to
+    # an earlier request came first, with nothing behind it yet; the connection was
+    # closed at that, which ended the work.
+    was_left = False
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal was_left
+        await stream.receive()
+        await stream.send(LATE)
+        with anyio.move_on_after(0.2):
+            await stream.receive()
+            was_left = True
+        await stream.send(GOOD)
+        await anyio.sleep(0.3)
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        found = await attempt(target, client)
+    assert found.result is plan.Result.ANSWERED
+    assert not was_left
+    assert client.foreign == 1
+
+
+async def test_waiting_behind_a_late_answer_ends_with_its_request() -> None:
+    # A caller has left, or its deadline has come, while the proxy reads on behind a
+    # late answer. The connection must end at once: the target would work on for
+    # nobody, and its answer would meet the next request.
+    ended = anyio.Event()
+    late_sent = anyio.Event()
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(LATE)
+        late_sent.set()
+        try:
+            await stream.receive()
+        finally:
+            ended.set()
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        async with anyio.create_task_group() as group:
+            group.start_soon(attempt, target, client)
+            await late_sent.wait()
+            await anyio.sleep(0.1)
+            assert not ended.is_set()
+            group.cancel_scope.cancel()
+        with anyio.fail_after(5.0):
+            await ended.wait()
+
+
+async def test_late_answer_does_not_stop_the_sending_of_a_long_body() -> None:
+    # The caller got 502 for a long request. A late answer to an earlier request ended
+    # its sending, so that the target never got the whole of it.
+    body = b"x" * 5_000_000
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        got = len(await stream.receive(1000))
+        await stream.send(LATE)
+        while got < len(body):
+            got += len(await stream.receive())
+        await stream.send(GOOD)
+        await anyio.sleep(0.3)
+
+    async with run_target(script) as target:
+        found = await attempt(target, body=body)
+    assert found.result is plan.Result.ANSWERED
+
+
+async def test_connection_that_a_late_answer_says_to_close_is_not_kept() -> None:
+    # The target may still answer on it what it has begun. Another request on it would
+    # meet the announced close.
+    late = LATE.replace(b"Content-Length", b"Connection: close\r\nContent-Length")
+    async with run_target(answer_with(late + GOOD, GOOD)) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        for _ in range(2):
+            found = await attempt(target, client)
+            assert found.result is plan.Result.ANSWERED
+        assert client.opened == 2
+
+
+@pytest.mark.parametrize("methods", [(b"GET", b"HEAD"), (b"HEAD", b"GET")])
+async def test_answer_without_body_shares_no_connection(
+    methods: tuple[bytes, bytes],
+) -> None:
+    # The caller got 502 while its target was at work. Where an answer ends depends on
+    # the request that it answers: HEAD gets a length and no body. A late answer to GET
+    # before that to HEAD, or the other way round, is read to the wrong end.
+    answers = {b"GET": GOOD, b"HEAD": GOOD.removesuffix(b"ok")}
+    late = {method: one.replace(b"id-1", b"id-0") for method, one in answers.items()}
+    last = b""
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal last
+        before = b""
+        while True:
+            method, _, _ = (await stream.receive()).partition(b" ")
+            await stream.send((late[before] if before else b"") + answers[method])
+            before = last = method
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        for method in methods:
+            found = await attempt(target, client, method=method)
+            assert found.result is plan.Result.ANSWERED
+    assert last == methods[-1]
+    assert client.opened == 2
+
+
+async def test_nothing_is_read_past_answers_without_end() -> None:
+    # A target that sends nothing but answers to others would hold the request until
+    # its deadline, and none of those answers may reach the caller.
+    most = http_exchange.MOST_FOREIGN
+    async with run_target(answer_with(LATE * most + GOOD)) as target:
+        assert (await attempt(target)).result is plan.Result.ANSWERED
+    async with run_target(answer_with(LATE * (most + 1) + GOOD)) as target:
+        found = await attempt(target)
+    assert found.result is plan.Result.BROKEN
+    assert found.answer is None
+
+
 async def test_bytes_after_an_answer_end_its_connection() -> None:
-    extra = GOOD.replace(b"id-1", b"id-0")
-    async with run_target(answer_with(GOOD + extra, GOOD)) as target:
+    async with run_target(answer_with(GOOD + LATE, GOOD)) as target:
         client = target_client.TargetClient(words.HEADERS)
         for _ in range(2):
             found = await attempt(target, client)
@@ -205,6 +350,52 @@
         assert (await attempt(target, client, work)).result is plan.Result.ANSWERED
 
 
+@pytest.mark.parametrize("status", [b"503", b"421"])
+async def test_proof_for_a_second_sending_does_not_cover_the_first(
+    status: bytes,
+) -> None:
+    # The caller was told that its lookup had not run, and a target had run it. The
+    # target broke off on a kept connection, the lookup was sent again on a new one and
+    # turned away there: that proves nothing of the first sending.
+    shed = b"HTTP/1.1 %b No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    connections = 0
+
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        await stream.receive()
+        await stream.send(GOOD if connections == 1 else shed % status)
+        await stream.receive()
+
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        work = services.Work.IDEMPOTENT
+        await attempt(target, client, work)
+        found = await attempt(target, client, work)
+    assert connections == 2
+    assert found.result is plan.Result.BROKEN
+    assert "then" in found.detail
+
+
+async def test_target_that_is_gone_after_a_first_sending_may_have_run_it() -> None:
+    # A target breaks off a lookup on a kept connection, and can't be connected to for
+    # the second sending. "Unreachable" would promise that nothing was sent.
+    async def script(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(GOOD)
+        await stream.receive()
+
+    async with run_target(answer_with(GOOD)) as gone:
+        pass
+    async with run_target(script) as target:
+        client = target_client.TargetClient(words.HEADERS)
+        work = services.Work.IDEMPOTENT
+        assert (await attempt(target, client, work)).result is plan.Result.ANSWERED
+        found = await attempt(gone, client, work)
+    assert found.result is plan.Result.BROKEN
+    assert "then" in found.detail
+
+
 async def test_proof_of_not_having_run_is_told_apart() -> None:
     shed = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
     other = b"HTTP/1.1 421 No\r\nX-Instance-Id: t9\r\nContent-Length: 0\r\n\r\n"
