--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -163,7 +163,7 @@
         if connection is None:
             return Attempt(plan.Result.BROKEN, None, f"{first}, then no connection")
         attempt = await self._exchange(target, connection, request)
-        if attempt.result in plan.NOT_RUN:
+        if attempt.result in plan.PROVED_NOT_RUN:
             detail = f"{first}, then {attempt.detail}"
             return Attempt(plan.Result.BROKEN, None, detail)
         return attempt
