Split the keeper of knowledge into modules of one job each

Change: configuration_keeper, target_reader, target_record, news_teller, reading_turn, fleet_entry and store_contact; knowledge_keeper composes them and keeps its interface. Tasks start in the same order, draws from the random source come in the same order, and log lines are the same. Constants moved with their users; figures of measurements were left out of their docstrings.

--- /dev/null
+++ b/tests/edge/test_reading_turn.py
@@ -0,0 +1,53 @@
+"""Whose turn it is to read for all, and when others read for themselves."""
+
+from __future__ import annotations
+
+from zinniastand_proxy.edge import members, ports, reading_turn
+
+SETTLED = members.SETTLE_TIME + 0.1
+
+
+def make_turn(own: str, others: tuple[str, ...]) -> reading_turn.ReadingTurn:
+    fleet = members.Members(ports.Member(own, "a", "10.0.0.1", 7660, 1), 0.0)
+    for name in others:
+        fleet.add(ports.Member(name, "a", "10.0.0.1", 7660, 1))
+        fleet.note_heard(name, 0.0)
+    return reading_turn.ReadingTurn(fleet)
+
+
+def make_turns() -> list[reading_turn.ReadingTurn]:
+    names = tuple(f"vm-{n}" for n in range(8))
+    return [
+        make_turn(own, tuple(name for name in names if name != own)) for own in names
+    ]
+
+
+def test_one_of_all_reads_while_news_come() -> None:
+    turns = make_turns()
+    for turn in turns:
+        turn.join(0.0, is_alone=False)
+    assert sum(turn.is_first(SETTLED) for turn in turns) == 1
+    assert sum(turn.is_due(SETTLED, heard_at=SETTLED) for turn in turns) == 1
+
+
+def test_the_next_in_rank_reads_before_the_others_when_news_stay_away() -> None:
+    turns = [turn for turn in make_turns() if not turn.is_first(SETTLED)]
+    silent = reading_turn.SILENCE + reading_turn.SILENCE_STEP / 2
+    assert sum(turn.is_due(SETTLED, SETTLED - silent) for turn in turns) == 1
+    longest = reading_turn.SILENCE_STEP * reading_turn.MOST_STEPS
+    silent = reading_turn.SILENCE + longest + 0.01
+    assert all(turn.is_due(SETTLED, SETTLED - silent) for turn in turns)
+
+
+def test_vm_that_has_heard_of_nobody_yet_is_not_the_reader() -> None:
+    turn = make_turn("own", ())
+    assert not turn.is_due(1.0, heard_at=1.0)
+    turn.join(1.0, is_alone=False)
+    assert not turn.is_due(1.0, heard_at=1.0)
+    assert turn.is_due(1.0 + reading_turn.JOIN_PAUSE, heard_at=1.0)
+
+
+def test_vm_that_is_alone_reads_at_once() -> None:
+    turn = make_turn("own", ())
+    turn.join(1.0, is_alone=True)
+    assert turn.is_due(1.0, heard_at=1.0)
--- /dev/null
+++ b/tests/edge/test_target_record.py
@@ -0,0 +1,78 @@
+"""What a VM takes in about targets, and from where on it must read for itself."""
+
+from __future__ import annotations
+
+import os
+
+from zinniastand_core.deployment import targets
+from zinniastand_proxy.edge import datagrams, log_lines, ports, target_record
+
+
+def make_entry(name: str, position: int) -> targets.Entry:
+    return targets.Entry(
+        name, "s", "10.0.0.1", 80, "a", 2, targets.Phase.READY, 1, 0.0, position
+    )
+
+
+class Site:
+    """A record, and how often it said that targets changed."""
+
+    def __init__(self) -> None:
+        self.changes = 0
+        self.registry = targets.Registry()
+        _, writer = os.pipe()
+        log = log_lines.LogLines("vm-1", writer)
+        self.record = target_record.TargetRecord(self.registry, log, self._count)
+
+    def _count(self) -> None:
+        self.changes += 1
+
+
+def make_news(since: int, position: int, *names: str) -> datagrams.News:
+    changes = tuple(make_entry(name, position - 1) for name in names)
+    return datagrams.News("vm-2", 1, position, since, changes)
+
+
+def test_news_count_only_after_a_whole_read() -> None:
+    # News tell changes. A VM that began with them would not know older targets.
+    site = Site()
+    site.record.take_news(make_news(0, 5, "t1"), 1.0)
+    assert not site.record.is_complete
+    assert site.registry.find("t1") is None
+
+
+def test_news_with_a_gap_before_them_are_left_to_the_store() -> None:
+    site = Site()
+    site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
+    site.record.take_news(make_news(6, 9, "t2"), 2.0)
+    assert site.record.position == 4
+    assert site.record.heard_at == 0.0
+    assert site.registry.find("t2") is None
+    site.record.take_news(make_news(4, 9, "t2"), 2.0)
+    assert site.record.position == 9
+    assert site.record.heard_at == 2.0
+    assert site.registry.find("t2") is not None
+    assert site.changes == 2
+
+
+def test_late_news_bring_no_old_position_back() -> None:
+    site = Site()
+    site.record.take_all(ports.TargetPage((make_entry("t1", 8),), 9), 1.0)
+    site.record.take_news(make_news(0, 5), 2.0)
+    assert site.record.position == 9
+
+
+def test_a_page_without_changes_is_no_news() -> None:
+    site = Site()
+    assert site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
+    assert not site.record.take_changes(ports.TargetPage((), 6), 2.0)
+    assert site.record.position == 6
+    assert site.changes == 1
+
+
+def test_changes_are_listed_from_a_time_on() -> None:
+    site = Site()
+    site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
+    site.record.take_changes(ports.TargetPage((make_entry("t2", 5),), 6), 2.0)
+    listed = site.record.list_recent(1.5)
+    assert [change.target_id for change in listed] == ["t2"]
