--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """Places the requests of one shard: who goes where, who waits, who is refused.
 
-One VM does this for a whole shard, since 36 VMs that share 18 slots and each see a
-few requests a second can neither count slots in use nor tell a failing target. Every
+One VM does this for a whole shard, since many VMs that share a few slots and each see
+a few requests a second can neither count slots in use nor tell a failing target. Every
 VM can do it: the one that does is only a matter of rank, and a VM that reaches nobody
 places its own requests by the same rules. Two dispatchers of one shard therefore
 cost some efficiency, never a promise: slots may be given twice, and targets turn away
@@ -33,8 +33,7 @@
 WORK_MARGIN = 2.0
 """Times the mean time of work that a standing queue must leave until the objective:
 five of six pieces of work end within it. In a standing queue everybody waits as long as
-it allows: with room for one mean time, 3% of three times the capacity was answered in
-time (bench.load_model)."""
+it allows: with room for one mean time, hardly any answer would be in time."""
 
 STANDING_AFTER = 1.0
 """Seconds from which a queue that makes answers late counts as standing. A standing
@@ -259,9 +258,7 @@
         mean = self._kinds.find_mean(ask.kind)
         ahead = sum(1 for one in self._queue if one.priority <= ask.priority)
         # Only while the answer can still be in time. Waiting on until the deadline
-        # keeps the queue as long as that, and makes every answer late: at 80% load
-        # with a quarter of the targets lost 29% were in time, against 67%
-        # (bench.load_model).
+        # keeps the queue as long as that, and makes every answer late.
         return now + mean + mean * max(1, ahead) / proved < ask.objective_at
 
     def _start(self, ask: messages.Ask, state: pool.TargetState, now: float) -> _Grant:
@@ -299,9 +296,9 @@
     ) -> None:
         """Learn how long a kind of work takes apart from how slow its target is.
 
-        Fast first answers of a new kind say nothing of their target: work of a few
-        milliseconds, held against the first guess, made targets look twenty times
-        faster than usual, and other work there was broken off as overdue.
+        Fast first answers of a new kind say nothing of their target: short work, held
+        against the first guess, makes targets look far faster than usual, and other
+        work there is then broken off as overdue.
         """
         slowness = state.find_slowness(now)
         mean = max(self._kinds.find_mean(kind), LEAST_MEAN)
@@ -349,14 +346,10 @@
     def _find_rank(self, ask: messages.Ask, now: float) -> int:
         """Return the rank of a request in the queue.
 
-        Load pattern: 70% to 80% of what targets can do, a third of them failing.
-        Idempotent work finds out about them for all others, and its second attempt
-        then waited behind work that had not failed: at 70% load 95.5% of it was
-        served, against 97.5% of what may run only once. One rank up while the queue
-        is short it is 97.6%, and 97.6% of all instead of 96.9%; at 80% load with a
-        quarter lost, 80.2% of all instead of 78.1% (bench.load_model, three seeds).
-        In a long queue it keeps its rank: one rank up always, work that may run only
-        once fell from 89.9% to 75.1% there.
+        Load pattern: high load, a third of the targets failing. Idempotent work finds
+        out about them for all others, and its second attempt would then wait behind
+        work that has not failed. So it goes one rank up while the queue is short. In a
+        long queue it keeps its rank, or it would crowd out work that may run only once.
         """
         if ask.attempt > 1 and self._find_backlog(now) < SHORT_BACKLOG:
             return ask.priority - 1
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -66,8 +66,8 @@
 alone may itself be cut off."""
 
 SUMMARY_FOR = 0.05
-"""Seconds for which sums over all targets are kept. They move slowly, and at 200 asks a
-second summing anew for each would take half of the dispatcher's processor."""
+"""Seconds for which sums over all targets are kept. They move slowly, and summing anew
+for each ask would take much of a busy dispatcher's processor."""
 
 ESTIMATE_FOR = 0.05
 """Seconds for which the doubt and slowness of a target are kept while nothing is heard
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/shards.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/shards.py
@@ -1,9 +1,7 @@
 """Shards of a service: its targets in groups, each placed by a dispatcher of its own.
 
 Load pattern: a service of hundreds of targets and more requests a second than one
-processor decides. A dispatcher spends about 0.3 ms on a request among 96 targets, and
-as much again on its datagrams, so that a VM with half a core ends at some hundred
-requests a second. A shard has few enough targets that any VM can place its requests,
+processor decides. A shard has few enough targets that any VM can place its requests,
 and enough of them that a third may fail at once.
 
 A large service is divided by data centre first. Requests, answers and what dispatchers
@@ -23,9 +21,8 @@
 from ..deployment import targets
 
 MOST_TARGETS = 40
-"""Targets of a service from which it is divided. With 24 to 40 targets, of which each
-third fails, the slots that work spread by an eighth between shards; smaller shards
-spread more, larger ones cost a small VM its processor."""
+"""Targets of a service from which it is divided. Smaller shards differ more in how many
+of their slots work while targets fail, larger ones cost a small VM its processor."""
 
 LEAST_TARGETS = 16
 """Mean targets of a data centre from which a service is divided by data centre. With
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/log_lines.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/log_lines.py
@@ -21,7 +21,7 @@
 
 MOST_PER_SECOND = 150
 """Lines of one event and second: more than any VM decides a second at its usual load
-of a few dozen requests, and little enough to cost below 1% of a processor."""
+of a few dozen requests, and little enough to cost next to no processor."""
 
 FLUSH_PAUSE = 0.1
 """Seconds between writes, so that many lines share one system call."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -19,7 +19,7 @@
 """Seconds after the start of this VM in which it counts as new together with those that
 it hears. Where all VMs start at once, each hears the others some tenths of a second
 after its own start. Settled earlier than they, each would take every task for itself:
-123 VMs read the store and dispatched for themselves two seconds after their start."""
+all would read the store and dispatch for themselves."""
 
 SUSPECT_FOR = 30.0
 """Seconds for which a VM that gave no answer takes no tasks unless it is heard from. It
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -18,8 +18,8 @@
 from . import datagrams, desk, log_lines, members, peer_link
 
 ANSWER_TIMES = (0.03, 0.06)
-"""Seconds to wait for the answer to the first and second sending of an ask. A round
-trip takes one to two milliseconds, on a busy VM up to ten times as long."""
+"""Seconds to wait for the answer to the first and second sending of an ask: longer than
+a round trip, also to a busy VM."""
 
 WAIT_CHECK = 0.2
 """Seconds between two sendings of an ask that waits: shows that somebody lives."""
@@ -29,8 +29,8 @@
 
 MOST_SHARDS = 2
 """Shards of a service in which a request asks for a place. The second one costs a round
-trip of a millisecond, and helps where the first is full by chance; where two are full,
-so are the others."""
+trip, and helps where the first is full by chance; where two are full, so are the
+others."""
 
 ELSEWHERE = frozenset(
     {messages.RefusalReason.OVERLOADED, messages.RefusalReason.NO_TARGET}
