Read settings files of both daemons in one place

Cause: settings.py and edge_settings.py each held the same reading of a file: text, JSON with comments, findings collected, unknown fields refused.

Change: settings_document.py holds it once; both modules keep `load` and `parse` and hand it their own reader. Findings keep their words and places.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -6,10 +6,10 @@
 import pathlib
 
 import expression
-import json5
 
 from zinniastand_core import documents, findings
 
+from .. import settings_document
 from . import desk
 
 MOST_PORT = 65_535
@@ -96,28 +96,12 @@
 
 def load(path: pathlib.Path) -> expression.Result[Settings, findings.Findings]:
     """Return the settings in a file, or every finding in it."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        found = findings.Finding(str(path), f"cannot be read: {error}")
-        return expression.Error(findings.Findings((found,)))
-    return parse(text, str(path))
+    return settings_document.load(path, _read)
 
 
 def parse(text: str, place: str) -> expression.Result[Settings, findings.Findings]:
     """Return the settings in a text; `place` names it in findings."""
-    try:
-        document = json5.loads(text)
-    except ValueError as error:
-        found = findings.Finding(place, f"not JSON with comments: {error}")
-        return expression.Error(findings.Findings((found,)))
-    collector = documents.Collector()
-    reader = documents.Reader(document, "", collector)
-    result = _read(reader)
-    reader.refuse_unknown()
-    if collector.found:
-        return expression.Error(collector.collect())
-    return expression.Ok(result)
+    return settings_document.parse(text, place, _read)
 
 
 def _read(reader: documents.Reader) -> Settings:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/settings.py
@@ -7,10 +7,11 @@
 import pathlib
 
 import expression
-import json5
 
 from zinniastand_core import documents, findings, sections, services
 
+from . import settings_document
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 DEFAULT_BODY_BYTES = 1024 * 1024
 MILLISECONDS = 1000.0
@@ -116,30 +117,12 @@
 
 def load(path: pathlib.Path) -> expression.Result[Settings, findings.Findings]:
     """Return the settings in a file, or every finding in it."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return expression.Error(_find(str(path), f"cannot be read: {error}"))
-    return parse(text, str(path))
+    return settings_document.load(path, _read)
 
 
 def parse(text: str, place: str) -> expression.Result[Settings, findings.Findings]:
     """Return the settings in a text; `place` names it in findings."""
-    try:
-        document = json5.loads(text)
-    except ValueError as error:
-        return expression.Error(_find(place, f"not JSON with comments: {error}"))
-    collector = documents.Collector()
-    reader = documents.Reader(document, "", collector)
-    result = _read(reader)
-    reader.refuse_unknown()
-    if collector.found:
-        return expression.Error(collector.collect())
-    return expression.Ok(result)
-
-
-def _find(place: str, message: str) -> findings.Findings:
-    return findings.Findings((findings.Finding(place, message),))
+    return settings_document.parse(text, place, _read)
 
 
 def _read(reader: documents.Reader) -> Settings:
