Forget changes of targets that nobody will be told

Test first: 199 of 199 kept after 199 s. Change: dropped when new ones come, after 5 s; they are told again for 2 s. Result: the tests of the record pass.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
@@ -12,6 +12,9 @@
 STORE = "store"
 """Source of what was read from the store, in log lines."""
 
+KEEP_RECENT = 5.0
+"""Seconds for which changes are kept for telling: longer than they are told again."""
+
 
 class TargetRecord:
     """Takes changes into the registry and keeps the recent ones for telling.
@@ -71,14 +74,15 @@
         return bool(news)
 
     def list_recent(self, since: float) -> tuple[targets.Change, ...]:
-        """Return the changes taken in since then, and forget those before."""
-        while self._recent and self._recent[0][0] < since:
-            self._recent.popleft()
-        return tuple(change for _, change in self._recent)
+        """Return the changes taken in since then, of the last `KEEP_RECENT` seconds."""
+        return tuple(change for at, change in self._recent if at >= since)
 
     def _note_changes(
         self, news: list[targets.Change], now: float, source: str
     ) -> None:
+        # Here and not when telling: a VM that never tells would keep them all.
+        while self._recent and self._recent[0][0] < now - KEEP_RECENT:
+            self._recent.popleft()
         for change in news:
             self._recent.append((now, change))
             phase = "gone" if isinstance(change, targets.Gone) else change.phase.value
--- a/tests/edge/test_target_record.py
+++ b/tests/edge/test_target_record.py
@@ -76,3 +76,13 @@
     site.record.take_changes(ports.TargetPage((make_entry("t2", 5),), 6), 2.0)
     listed = site.record.list_recent(1.5)
     assert [change.target_id for change in listed] == ["t2"]
+
+
+def test_changes_that_nobody_will_be_told_are_forgotten() -> None:
+    # A VM that never reads for the others hears of changes all day. Kept for a telling
+    # that never comes, they would fill its memory until it is killed.
+    site = Site()
+    site.record.take_all(ports.TargetPage((), 0), 0.0)
+    for number in range(1, 200):
+        site.record.take_news(make_news(number - 1, number, f"t{number}"), number * 1.0)
+    assert len(site.record.list_recent(0.0)) < 10
