Let runs of requests be ended by a time, with a final answer

What callers see: at the limit of a planned stop the process ends, and connections of requests that are still under way close; nobody can tell that from a request that was never read. Cause: nothing told the runs when the process ends. Change: a forwarder can be told; each run then answers by that time (504, or 503 where nothing was sent), hands no target more time than is left, and a request that comes later than its objective allows is refused at once as not run.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -136,6 +136,11 @@
         """Whether the work may run more than once."""
         return self._route.work is services.Work.IDEMPOTENT
 
+    def end_by(self, at: float) -> None:
+        """Bring the deadline forward, if it is later."""
+        deadline_at = min(at, self.times.deadline_at)
+        self.times = dataclasses.replace(self.times, deadline_at=deadline_at)
+
     def start_attempt(self, target_id: str) -> None:
         """Take in that the request goes to a target."""
         self._attempts += 1
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 import itertools
+import math
+
+import anyio
 
 from zinniastand_core.deployment import configuration, routing, targets
 
@@ -82,6 +85,8 @@
         self._words = tools.words
         self._prefix = f"{vm}:{incarnation}:"
         self._numbers = itertools.count()
+        self._runs: set[request_run.Run] = set()
+        self._ends_at = math.inf
         self._notes = request_notes.RequestNotes(
             tools.log, tools.metrics, tools.knowledge.configured
         )
@@ -107,8 +112,28 @@
         route = self._knowledge.router.find(incoming.host, path)
         if route is None:
             return self._refuse(incoming, 404, "no-route")
+        if self._ends_at - anyio.current_time() < route.objective:
+            # The process ends before most of this work would; another VM serves it.
+            pause = request_run.RETURN_ELSEWHERE
+            return self._refuse(incoming, 503, request_run.STOPPING, pause)
         service = self._knowledge.router.choose_service(route)
-        return await request_run.Run(self._parts, incoming, route, service).run()
+        run = request_run.Run(self._parts, incoming, route, service)
+        run.end_by(self._ends_at)
+        self._runs.add(run)
+        try:
+            return await run.run()
+        finally:
+            self._runs.discard(run)
+
+    def end_by(self, at: float) -> None:
+        """Give the final answer to each request, also to later ones, by `at`.
+
+        A request that is still under way when the process ends would lose its
+        connection, and its caller would not know that anybody had read it.
+        """
+        self._ends_at = at
+        for run in self._runs:
+            run.end_by(at)
 
     def _make_ticket(self) -> str:
         return f"{self._prefix}{next(self._numbers)}"
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -42,12 +42,17 @@
 RETURN_PAUSE = 0.5
 """Seconds after which a caller may come back where the dispatcher names no time."""
 
+RETURN_ELSEWHERE = 0.05
+"""Seconds after which a caller may come back whom a stopping VM refuses: the balancer
+sends it to another VM by then."""
+
 MILLISECONDS = 1000.0
 
 CALLER_LEFT = "caller left"
 DEADLINE = "deadline"
 OTHER_ANSWERED = "another target answered"
 OVERDUE = "overdue"
+STOPPING = "stopping"
 
 OUTCOMES = {
     plan.Result.ANSWERED: messages.Outcome.GOOD,
@@ -138,6 +143,7 @@
         objective = min(limit, incoming.read_at + route.objective)
         self._plan = plan.Plan(route, plan.Times(objective, limit))
         self._scope = anyio.CancelScope(deadline=limit)
+        self._is_ending = False
         self._answer: http_exchange.Answer | None = None
         self._retry_at: float | None = None
         self._why = ""
@@ -148,9 +154,16 @@
             self._incoming.caller.watch(self._scope, self._may_cancel)
             return self._finish(await self._try_targets())
         has_left = self._incoming.caller.has_left
-        self._why = CALLER_LEFT if has_left else DEADLINE
+        self._why = CALLER_LEFT if has_left else self._name_deadline()
         return self._finish(self._plan.expire())
 
+    def end_by(self, at: float) -> None:
+        """Give the final answer by `at`, since the process ends then."""
+        if at < self._plan.times.deadline_at:
+            self._is_ending = True
+            self._plan.end_by(at)
+            self._scope.deadline = at
+
     def _may_cancel(self) -> bool:
         """Return whether to stop when the caller has left.
 
@@ -274,9 +287,12 @@
         if self._plan.is_answered:
             return messages.Outcome.ABANDONED, OTHER_ANSWERED
         if now >= self._plan.times.deadline_at:
-            return messages.Outcome.SILENT, DEADLINE
+            return messages.Outcome.SILENT, self._name_deadline()
         return messages.Outcome.ABANDONED, CALLER_LEFT
 
+    def _name_deadline(self) -> str:
+        return STOPPING if self._is_ending else DEADLINE
+
     def _make_ask(self) -> messages.Ask:
         parts, times = self._parts, self._plan.times
         unreachable = parts.unreachable.list_current(anyio.current_time())
@@ -358,6 +374,8 @@
 
     def _find_pause(self, now: float) -> float:
         """Return the seconds after which the caller may come back."""
+        if self._is_ending:
+            return RETURN_ELSEWHERE
         if self._retry_at is None:
             return RETURN_PAUSE
         return max(0.0, self._retry_at - now)
--- a/tests/forwarding/test_plan.py
+++ b/tests/forwarding/test_plan.py
@@ -144,6 +144,14 @@
     assert one.expire() is Step.SAY_UNKNOWN
 
 
+def test_deadline_can_only_be_brought_forward() -> None:
+    one = make_plan(services.Work.IDEMPOTENT)
+    one.end_by(2.0)
+    assert one.times.deadline_at == 1.0
+    one.end_by(0.4)
+    assert one.times.deadline_at == 0.4
+
+
 @hypothesis.given(
     most=st.integers(1, 4),
     moves=st.lists(
--- /dev/null
+++ b/tests/scripted_run.py
@@ -0,0 +1,205 @@
+"""Runs of one request in virtual time, with scripted slots and targets."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import os
+
+import anyio
+import trio.testing
+
+from zinniastand_core import services
+from zinniastand_core.deployment import configuration, targets
+from zinniastand_core.dispatch import messages
+from zinniastand_core.forwarding import plan
+from zinniastand_platform import words
+from zinniastand_proxy import metrics
+from zinniastand_proxy.edge import (
+    http_exchange,
+    http_server,
+    log_lines,
+    request_notes,
+    request_run,
+    target_client,
+    unreachable_targets,
+)
+
+TIME_LIMIT = 2.0
+EXPECTED = 0.1
+"""Expected seconds of work: an attempt without doubt is overdue after four times it."""
+
+Result = plan.Result
+NOT_SENT = {Result.UNREACHABLE}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Script:
+    """What one target does with the request."""
+
+    result: plan.Result
+    """How the attempt ends."""
+
+    after: float
+    """Seconds after which it ends."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """How a run went."""
+
+    status: int
+    """Status that the caller got."""
+
+    body: bytes
+    """Body that the caller got."""
+
+    took: float
+    """Seconds until then."""
+
+    broken_off: tuple[str, ...]
+    """Targets whose attempt was broken off."""
+
+    outcomes: tuple[messages.Outcome, ...]
+    """What the dispatcher was told of attempts, in order."""
+
+
+class ScriptedSlots:
+    """Grants the targets of a script in their order, then refuses."""
+
+    def __init__(self, names: collections.abc.Sequence[str]) -> None:
+        self.names = list(names)
+        self.outcomes: list[messages.Outcome] = []
+
+    async def acquire(self, ask: messages.Ask) -> messages.Grant | messages.Refuse:
+        """Return the next target."""
+        await anyio.sleep(0.001)
+        if not self.names:
+            reason = messages.RefusalReason.OVERLOADED
+            return messages.Refuse(ask.ticket, reason, ask.deadline_at)
+        return messages.Grant(ask.ticket, self.names.pop(0), 0.0, EXPECTED)
+
+    def report(self, report: messages.Report) -> None:
+        """Take in how an attempt went."""
+        self.outcomes.append(report.outcome)
+
+
+class ScriptedTargets:
+    """Ends attempts as their scripts say."""
+
+    def __init__(self, scripts: dict[str, Script]) -> None:
+        self.scripts = scripts
+        self.broken_off: list[str] = []
+
+    async def attempt(
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
+        mark_sent: collections.abc.Callable[[], None],
+    ) -> target_client.Attempt:
+        """Play one attempt."""
+        script = self.scripts[target.target_id]
+        if script.result not in NOT_SENT:
+            mark_sent()
+        try:
+            await anyio.sleep(script.after)
+        except BaseException:
+            self.broken_off.append(target.target_id)
+            raise
+        status = {Result.ANSWERED: 200, Result.ERROR: 500}.get(script.result)
+        if status is None:
+            return target_client.Attempt(script.result, None, script.result.value)
+        name = target.target_id.encode()
+        answer = http_exchange.Answer(status, [], name, True, b"")
+        return target_client.Attempt(script.result, answer, str(status))
+
+
+def make_route(work: services.Work, attempts: int) -> configuration.Route:
+    return configuration.Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        work=work,
+        time_limit=TIME_LIMIT,
+        objective=0.6,
+        max_attempts=attempts,
+        priority=0,
+        parts=(configuration.Part("desk", 1.0),),
+    )
+
+
+def make_parts(
+    slots: ScriptedSlots, exchange: ScriptedTargets, names: list[str]
+) -> request_run.Parts:
+    registry = targets.Registry()
+    entries = [
+        targets.Entry(
+            target_id=name,
+            service="desk",
+            host="127.0.0.1",
+            port=1,
+            data_centre="a",
+            slots=3,
+            phase=targets.Phase.READY,
+            born=1,
+            cold_until=0.0,
+            position=1,
+        )
+        for name in names
+    ]
+    registry.replace(entries, 1, 0.0)
+    log = log_lines.LogLines("vm-1", os.open(os.devnull, os.O_WRONLY))
+    notes = request_notes.RequestNotes(
+        log, metrics.Metrics(), configuration.ConfigurationState()
+    )
+    return request_run.Parts(
+        "vm-1",
+        "a",
+        slots,
+        exchange,
+        registry,
+        unreachable_targets.UnreachableTargets(),
+        notes,
+        words.HEADERS,
+        lambda: "ticket",
+    )
+
+
+def play(
+    scripts: dict[str, Script],
+    work: services.Work = services.Work.IDEMPOTENT,
+    attempts: int = 2,
+    known: list[str] | None = None,
+    ends_at: float | None = None,
+) -> Seen:
+    """Run one request against these targets, which are granted in their order.
+
+    `known` are the targets that this VM knows, all by default; `ends_at` is when the
+    process tells its runs to end.
+    """
+    slots, exchange = ScriptedSlots(list(scripts)), ScriptedTargets(scripts)
+    seen: list[Seen] = []
+
+    async def main() -> None:
+        parts = make_parts(slots, exchange, list(scripts) if known is None else known)
+        begin = anyio.current_time()
+        request = http_exchange.Request(b"GET", b"/x", [], b"", False)
+        incoming = http_server.Incoming(request, "h", begin, http_server.Caller())
+        run = request_run.Run(parts, incoming, make_route(work, attempts), "desk")
+        if ends_at is not None:
+            run.end_by(begin + ends_at)
+        reply = await run.run()
+        seen.append(
+            Seen(
+                reply.status,
+                reply.body,
+                anyio.current_time() - begin,
+                tuple(exchange.broken_off),
+                tuple(slots.outcomes),
+            )
+        )
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    return seen[0]
