Ask the plan anew after attempts that end in one turn of the loop

What callers saw: 502 although an answer or an error of a target was in hand, where three attempts were under way and two ended in one turn (routes with three targets or more). Cause: the group that closes last overwrote the outcome of the other with 'wait'. Change: a group that ends so asks the plan, which knows all that has ended.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -165,6 +165,14 @@
             self._proved_not_run += 1
         if result is Result.ERROR:
             self._has_error = True
+        return self.find_next(now)
+
+    def break_off(self) -> None:
+        """Take in that an attempt was broken off before it ended."""
+        self._under_way -= 1
+
+    def find_next(self, now: float) -> Step:
+        """Return what to do next."""
         if not self._is_answered and self._may_try_again(now):
             return Step.TRY_AGAIN
         return self.give_up()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -244,6 +244,9 @@
             step = await self._try_targets()
             if self._plan.is_answered:
                 group.cancel_scope.cancel()
+        if step is plan.Step.WAIT or self._plan.is_answered:
+            # Attempts that end in one turn of the loop may report in any order.
+            return self._plan.find_next(anyio.current_time())
         return step
 
     async def _attempt(
