Count an attempt that is broken off as ended

What callers saw: 502 for a target's own error, where the first attempt failed in the turn in which it became overdue. Cause: the backup was broken off before it was sent and stayed under way for the plan, which waited for nothing. Change: breaking off counts. The test that was known to fail holds.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -266,6 +266,7 @@
         finally:
             now = anyio.current_time()
             if outcome is messages.Outcome.ABANDONED:
+                self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
             self._report(place, outcome, now - started)
             self._note_attempt(place, outcome, why, now - started)
