Let a fault in one attempt end that attempt only

What callers saw: no answer of a target at work, where a fault of the program was met while a backup was sent or its slot asked for. Cause: the fault ended the group of both. Change: it is logged with its trace and ends its own attempt as broken, or the ask as refused.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import traceback
 
 from zinniastand_core.deployment import configuration
 from zinniastand_core.dispatch import messages
@@ -12,6 +13,9 @@
 
 MILLISECONDS = 1000.0
 
+MOST_TRACE = 2_000
+"""Characters of a traceback that go into the log: its end names the place."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
@@ -117,3 +121,10 @@
             metrics.label(status=str(answer.status), why=answer.why),
         )
         self._counters.record("zinniastand_answer_seconds", answer.took)
+
+    def note_error(self, request_id: str, error: Exception) -> None:
+        """Note an error that no part expected, so that it is not lost."""
+        text = "".join(traceback.format_exception(error))
+        self._log.write(
+            "unexpected_error", request=request_id, trace=text[-MOST_TRACE:]
+        )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -53,6 +53,7 @@
 OTHER_ANSWERED = "another target answered"
 OVERDUE = "overdue"
 STOPPING = "stopping"
+UNEXPECTED_ERROR = "unexpected error"
 
 OUTCOMES = {
     plan.Result.ANSWERED: messages.Outcome.GOOD,
@@ -201,7 +202,13 @@
         """Return a slot, or None where the dispatcher refuses."""
         ask = self._make_ask()
         asked_at = anyio.current_time()
-        answer = await self._parts.slots.acquire(ask)
+        try:
+            answer = await self._parts.slots.acquire(ask)
+        except Exception as error:
+            # Like a refusal: another attempt may be under way, and goes on.
+            self._parts.notes.note_error(self._request_id, error)
+            self._why = UNEXPECTED_ERROR
+            return None
         if isinstance(answer, messages.Grant):
             return _Place(ask, answer, anyio.current_time() - asked_at)
         self._why = answer.reason.value
@@ -256,12 +263,7 @@
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
         try:
-            attempt = await self._parts.exchange.attempt(
-                target,
-                self._make_request(target, started),
-                self._route.work,
-                self._plan.mark_sent,
-            )
+            attempt = await self._send(target, started)
             outcome, why = OUTCOMES[attempt.result], attempt.detail
         finally:
             now = anyio.current_time()
@@ -272,6 +274,23 @@
             self._note_attempt(place, outcome, why, now - started)
         return self._take(attempt, target, now)
 
+    async def _send(self, target: targets.Entry, now: float) -> target_client.Attempt:
+        """Send to one target.
+
+        An error that no part expected ends this attempt only. It would otherwise end
+        the group, and with it an attempt at which another target is at work.
+        """
+        try:
+            return await self._parts.exchange.attempt(
+                target,
+                self._make_request(target, now),
+                self._route.work,
+                self._plan.mark_sent,
+            )
+        except Exception as error:
+            self._parts.notes.note_error(self._request_id, error)
+            return target_client.Attempt(plan.Result.BROKEN, None, UNEXPECTED_ERROR)
+
     def _take(
         self, attempt: target_client.Attempt, target: targets.Entry, now: float
     ) -> plan.Step:
