Hold the ports of a soak's daemons while they are not running

Seen: in a trial with two soaks at a time, a stopped daemon could not start again: OSError 98, address already in use. Cause: its port was free between two processes, and a connection of somebody else got it as its own.

--- a/soak/vms.py
+++ b/soak/vms.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 
 import anyio
@@ -60,9 +61,9 @@
     ) -> None:
         self.number = number
         self.store = store
-        self.callers, self._readiness = (
-            loopback.find_free_port(),
-            loopback.find_free_port(),
+        self._held = [_hold_port() for _ in range(3)]
+        self.callers, self._readiness, self._metrics = (
+            held.getsockname()[1] for held in self._held
         )
         self.is_ready = False
         self.process: anyio.abc.Process | None = None
@@ -77,7 +78,7 @@
             "data_centre": "a",
             "callers": f"{links.HOST}:{self.callers}",
             "readiness": f"{links.HOST}:{self._readiness}",
-            "metrics": f"{links.HOST}:{loopback.find_free_port()}",
+            "metrics": f"{links.HOST}:{self._metrics}",
             "peers": f"{links.HOST}:{loopback.find_free_port()}",
             "store": f"{links.HOST}:{self.store.port}",
             "stop_limit_s": GRACE,
@@ -134,6 +135,11 @@
             self.process.kill()
             await self.process.wait()
 
+    def release_ports(self) -> None:
+        """Let others have its ports."""
+        for held in self._held:
+            held.close()
+
     async def _ask_ready(self) -> bool:
         request = b"GET /-/readiness HTTP/1.1\r\nHost: vm\r\n\r\n"
         try:
@@ -158,6 +164,19 @@
         with anyio.CancelScope(shield=True):
             for vm in vms:
                 await vm.end()
+                vm.release_ports()
+
+
+def _hold_port() -> socket.socket:
+    """Return a socket that keeps a port for a process while it is not running.
+
+    A connection that somebody opens meanwhile would otherwise get it as its own port,
+    and the next process could not listen there.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((links.HOST, 0))
+    return held
 
 
 def find_default_program() -> pathlib.Path:
