Judge in the soak whether work that goes on is given up

Cause: the judge looked only at connections that end without a status, the ledger did not note how work ends, and the plans seldom made a second target fail. Change: targets note how work ended; the promise given-up holds at any time; plans of the kind rolling (SIGTERM in series, targets that take long while the others shed, fail or answer another request first, targets where nobody listens).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from . import run
+from . import plan, run
 
 JOBS = 4
 """Seeds played at the same time: each has four daemons and one process of its own."""
@@ -31,6 +31,10 @@
     keep: typing.Annotated[
         pathlib.Path | None, typer.Option(help="Folder for logs.")
     ] = None,
+    kind: typing.Annotated[
+        plan.Kind, typer.Option(help="Which faults.")
+    ] = plan.Kind.MIXED,
+    vms: typing.Annotated[int, typer.Option(help="Daemons of a seed.")] = 4,
     program: typing.Annotated[
         pathlib.Path | None, typer.Option(help="Script that starts a daemon.")
     ] = None,
@@ -41,10 +45,11 @@
     """
     first = first or random.SystemRandom().randrange(1_000, 1_000_000)
     folder = keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    shape = run.Shape(kind, vms)
     broken: list[int] = []
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         futures = [
-            pool.submit(run.play, seed, folder / str(seed), program)
+            pool.submit(run.play, seed, folder / str(seed), program, shape)
             for seed in range(first, first + seeds)
         ]
         for future in futures:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,6 +31,8 @@
 
 HOST = b"desk.example"
 PATHS = ("/safe/", "/once/", "/moving/", "/other/")
+LOOKUP_PATHS = ("/safe/", "/safe/", "/safe/", "/once/", "/other/")
+"""The same where most requests may be tried at a second target."""
 
 
 class Callers:
@@ -44,6 +46,8 @@
         Where they note what they see.
     rng : random.Random
         Source of randomness.
+    paths : sequence of str
+        Where they send to, drawn from evenly.
     """
 
     def __init__(
@@ -51,7 +55,9 @@
         fleet: collections.abc.Sequence[vms.Vm],
         book: ledger.Ledger,
         rng: random.Random,
+        paths: collections.abc.Sequence[str] = PATHS,
     ) -> None:
+        self._paths = paths
         self._fleet = fleet
         self._book = book
         self._rng = rng
@@ -85,7 +91,7 @@
     async def _send_one(self, vm: vms.Vm, stream: anyio.abc.SocketStream) -> bool:
         """Send one request; return whether the connection may be used again."""
         rng = self._rng
-        path = rng.choice(PATHS) + str(rng.randrange(1000))
+        path = rng.choice(self._paths) + str(rng.randrange(1000))
         size = LONG_BODY if rng.random() < LONG_SHARE else rng.randrange(400)
         name = f"r{next(self._numbers)}"
         sent = ledger.Sent(
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -77,6 +77,20 @@
     """When."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """How a piece of work of a target ended."""
+
+    ran: Ran
+    """The work."""
+
+    is_cut: bool
+    """Whether its connection ended while the target was at work."""
+
+    at: float
+    """When."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drained:
     """A target that told the store that it is leaving."""
@@ -132,6 +146,9 @@
     ran: list[Ran] = dataclasses.field(default_factory=list)
     """Work of targets."""
 
+    ended: list[Ended] = dataclasses.field(default_factory=list)
+    """Its ends."""
+
     drained: list[Drained] = dataclasses.field(default_factory=list)
     """Targets that left."""
 
--- a/soak/links.py
+++ b/soak/links.py
@@ -11,6 +11,7 @@
 
 HOST = "127.0.0.1"
 READ_BYTES = 65_536
+REQUEST_BEGINS = b"POST "
 HOLD_CHECK = 0.02
 """Seconds between two looks whether a held connection may go on."""
 
@@ -56,12 +57,18 @@
     ----------
     port : int
         Where connections go.
+
+    Attributes
+    ----------
+    first_back : bytes
+        What comes back at once for each request but the first on a connection.
     """
 
     def __init__(self, port: int) -> None:
         self._to = port
         self.port = 0
         self.trouble = Trouble.NONE
+        self.first_back = b""
         self._open: set[anyio.abc.SocketStream] = set()
         self._silenced: set[anyio.abc.SocketStream] = set()
 
@@ -118,9 +125,13 @@
         is_forth: bool,
         group: anyio.abc.TaskGroup,
     ) -> None:
+        is_kept = False
         try:
             while True:
                 data = await source.receive(READ_BYTES)
+                if is_forth and is_kept and data.startswith(REQUEST_BEGINS):
+                    await self._send_first_back(near)
+                is_kept = True
                 await self._hold(near, is_forth)
                 await self._send(sink, data, is_forth)
                 if self.trouble is Trouble.TRUNCATE and not is_forth:
@@ -133,6 +144,10 @@
             pass  # One end is gone; the other is told so below.
         group.cancel_scope.cancel()
 
+    async def _send_first_back(self, near: anyio.abc.SocketStream) -> None:
+        if self.first_back:
+            await near.send(self.first_back)
+
     async def _hold(self, near: anyio.abc.SocketStream, is_forth: bool) -> None:
         if self.trouble is Trouble.DELAY:
             await anyio.sleep(DELAY)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,7 +6,7 @@
 import enum
 import random
 
-from . import links, targets
+from . import links
 
 FAULT_TIME = 9.0
 """Seconds in which faults begin."""
@@ -21,6 +21,16 @@
 """Faults that begin a second: with their length some three overlap."""
 
 
+class Kind(enum.StrEnum):
+    """Which faults a plan is drawn from."""
+
+    MIXED = "mixed"
+    """All sorts."""
+
+    ROLLING = "rolling"
+    """Restarts in series, and targets of which the second fails too."""
+
+
 class Act(enum.StrEnum):
     """What a step does."""
 
@@ -57,8 +67,17 @@
     PUBLISH = "publish"
     """A new version leads a route to the other service."""
 
+    ROLL = "roll"
+    """SIGTERM to most VMs, one soon after the other."""
+
+    ABSENT = "absent"
+    """A target is registered, and nobody listens at its address."""
+
+    CORNER = "corner"
+    """A target takes long at times while the others of its service misbehave."""
+
 
-WEIGHTS = {
+MIXED = {
     Act.KILL: 2,
     Act.STOP: 3,
     Act.PAUSE: 2,
@@ -72,16 +91,39 @@
     Act.PUBLISH: 3,
 }
 
+ROLLING = {
+    Act.ROLL: 3,
+    Act.STOP: 1,
+    Act.RELOAD: 1,
+    Act.TARGET: 6,
+    Act.CORNER: 6,
+    Act.ABSENT: 4,
+    Act.REPLACE: 1,
+    Act.PUBLISH: 1,
+}
+"""No VM is killed or paused and no link is in trouble: those excuse an answer lost."""
+
+WEIGHTS = {Kind.MIXED: MIXED, Kind.ROLLING: ROLLING}
+
+ROLLING_FAULTS = ("slow", "uneven", "hang", "shed", "unsigned", "foreign", "error")
+"""Variants of a target's fault in a rolling plan."""
+
+CORNER_FAULTS = ("shed", "unsigned", "foreign", "error", "bare")
+"""How the other targets fail whatever one that takes long is given up for."""
+
 HOWS: dict[Act, tuple[str, ...]] = {
     Act.STORE: ("busy", "silent", "reset", "lost"),
     Act.STORE_LINK: ("delay", "reset", "mute-back", "mute-forth", "silence"),
-    Act.TARGET: tuple(fault.value for fault in targets.Fault if fault.value != "none"),
+    Act.TARGET: ("error", "hang", "shed", "bare", "slow", "unsigned"),
     Act.TARGET_LINK: tuple(
         trouble.value for trouble in links.Trouble if trouble.value != "none"
     ),
 }
 """Variants of an act; the others have none."""
 
+ROLLING_HOWS = {**HOWS, Act.TARGET: ROLLING_FAULTS, Act.CORNER: CORNER_FAULTS}
+"""The same in a rolling plan."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
@@ -103,15 +145,17 @@
     """Its variant."""
 
 
-def draw(seed: int) -> tuple[Step, ...]:
+def draw(seed: int, kind: Kind = Kind.MIXED) -> tuple[Step, ...]:
     """Return the faults of a seed, in the order in which they begin."""
     rng = random.Random(seed)
-    acts = list(WEIGHTS)
+    weights = WEIGHTS[kind]
+    hows = ROLLING_HOWS if kind is Kind.ROLLING else HOWS
+    acts = list(weights)
     steps: list[Step] = []
     at = rng.uniform(0.2, 0.8)
     while at < FAULT_TIME:
-        [act] = rng.choices(acts, [WEIGHTS[one] for one in acts])
-        how = rng.choice(HOWS.get(act, ("",)))
+        [act] = rng.choices(acts, [weights[one] for one in acts])
+        how = rng.choice(hows.get(act, ("",)))
         steps.append(Step(at, act, rng.randrange(100), rng.uniform(0.3, MOST_FOR), how))
         at += rng.expovariate(FAULTS_PER_SECOND)
     return tuple(steps)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,6 +29,9 @@
 PLANNED = frozenset({"stop", "reload", "store-link"})
 """Faults of a VM that excuse no lost answer."""
 
+LINK_FAULT = "target-link"
+"""Fault that may end work without anybody having given it up."""
+
 TIME_LIMIT = 1.5
 """Time limit of all routes of the soak, in seconds."""
 
@@ -58,6 +61,7 @@
         _check_versions,
         _check_times,
         _check_planned_stops,
+        _check_given_up,
     )
     found = [breach for check in checks for breach in check(book)]
     return [*found, *_check_recovery(book, calm_from)]
@@ -164,6 +168,30 @@
             yield Breach("cut", f"{sent.request_id} ran, and its caller saw a close")
 
 
+def _check_given_up(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """Work that goes on at a sound target is not replaced by a failure of the proxy.
+
+    Whether the VM is stopping makes no difference. The time limit of every route is
+    over long before the last sixth of a stop's grace, which needs no excuse therefore.
+    """
+    sent = {one.request_id: one for one in book.sent}
+    unplanned = [one for one in book.disturbed if one.kind not in PLANNED]
+    links = [one for one in book.disturbed if one.kind == LINK_FAULT]
+    for ended in book.ended:
+        ran = ended.ran
+        asked, seen = sent.get(ran.request_id), book.seen.get(ran.request_id)
+        if not ended.is_cut or asked is None or seen is None:
+            continue
+        if seen.has_left or seen.is_signed or seen.at >= asked.at + TIME_LIMIT:
+            continue
+        if _touches(book, {_name(asked.vm)}, asked.at, seen.at, unplanned):
+            continue
+        if not _touches(book, {ran.target_id}, ran.at, ended.at, links):
+            what = f"{ran.request_id} at vm-{asked.vm}: {ran.target_id} was at work for"
+            what += f" {ended.at - ran.at:.2f} s, and its caller got {seen.status}"
+            yield Breach("given-up", what)
+
+
 def _check_recovery(
     book: ledger.Ledger, calm_from: float
 ) -> collections.abc.Iterator[Breach]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import signal
+import socket
 
 import anyio
 import anyio.abc
@@ -17,9 +18,15 @@
 
 from . import callers, ledger, links, plan, promises, targets, vms
 
-VMS = 4
 TARGETS = {"desk": 4, "register": 3}
-CALLERS = 10
+UNNOTED = (plan.Act.REPLACE, plan.Act.PUBLISH, plan.Act.ROLL, plan.Act.ABSENT)
+"""Ordinary work of operators excuses nothing. The stops of a series are noted one by
+one."""
+
+LEAST_CALLERS = 10
+ROLL_PAUSE = 0.4
+"""Seconds between two stops of a series; each takes longer, so that they overlap."""
+
 LEAVE_AFTER = 4.0
 """Seconds for which a draining target serves on."""
 
@@ -27,6 +34,17 @@
 """Seconds after a fault for which what it broke may still show."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """What is played beside the seed."""
+
+    kind: plan.Kind = plan.Kind.MIXED
+    """Which faults."""
+
+    vms: int = 4
+    """How many VMs."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """How one seed went."""
@@ -58,10 +76,15 @@
         Where settings and logs go.
     program : pathlib.Path
         The script that starts a daemon.
+    shape : Shape
+        Which faults, and how many VMs.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path, program: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, program: pathlib.Path, shape: Shape
+    ) -> None:
         self._seed = seed
+        self._shape = shape
         self._folder = folder
         self._program = program
         self._book = ledger.Ledger()
@@ -74,7 +97,7 @@
 
     async def run(self) -> Report:
         """Play the seed and judge it."""
-        steps = plan.draw(self._seed)
+        steps = plan.draw(self._seed, self._shape.kind)
         async with anyio.create_task_group() as group:
             self._group = group
             await self._start_store()
@@ -97,11 +120,14 @@
             await vm.wait_ready()
         group = self._group
         stop = anyio.Event()
-        load = callers.Callers(self._vms, self._book, random.Random(self._seed))
+        is_rolling = self._shape.kind is plan.Kind.ROLLING
+        paths = callers.LOOKUP_PATHS if is_rolling else callers.PATHS
+        rng = random.Random(self._seed)
+        load = callers.Callers(self._vms, self._book, rng, paths)
         for vm in self._vms:
             group.start_soon(vm.follow_readiness)
         async with anyio.create_task_group() as clients:
-            for _ in range(CALLERS):
+            for _ in range(max(LEAST_CALLERS, self._shape.vms)):
                 clients.start_soon(load.run_one, stop)
             begin = anyio.current_time()
             async with anyio.create_task_group() as faults:
@@ -115,8 +141,8 @@
     async def _do(self, step: plan.Step) -> None:
         begin = anyio.current_time()
         touched = await self._act(step)
-        if step.act in (plan.Act.REPLACE, plan.Act.PUBLISH):
-            return  # Ordinary work of operators excuses nothing.
+        if step.act in UNNOTED:
+            return
         end = anyio.current_time() + RETURN_AFTER
         self._book.disturbed.append(
             ledger.Disturbed(step.act.value, touched, begin, end)
@@ -141,9 +167,12 @@
                 await _trouble(vm.store, step)
                 return f"vm-{vm.number}"
             case plan.Act.TARGET:
-                target.fault = targets.Fault(step.how)
+                target.misbehave(targets.Fault(step.how))
                 await anyio.sleep(step.for_s)
-                target.fault = targets.Fault.NONE
+                target.misbehave(targets.Fault.NONE)
+                return target.target_id
+            case plan.Act.CORNER:
+                await self._corner(target, step)
                 return target.target_id
             case plan.Act.TARGET_LINK:
                 await _trouble(target.link, step)
@@ -152,8 +181,44 @@
                 await self._replace(target)
             case plan.Act.PUBLISH:
                 self._publish()
+            case plan.Act.ROLL:
+                await self._roll(step)
+            case plan.Act.ABSENT:
+                await self._announce_absent(step)
         return "store"
 
+    async def _corner(self, target: targets.Target, step: plan.Step) -> None:
+        """Leave a service nothing but a target that takes long at times."""
+        some = [one for one in self._targets if one.service == target.service]
+        for one in some:
+            one.misbehave(targets.Fault(step.how))
+        target.misbehave(targets.Fault.UNEVEN)
+        await anyio.sleep(step.for_s)
+        for one in some:
+            one.misbehave(targets.Fault.NONE)
+
+    async def _roll(self, step: plan.Step) -> None:
+        """Stop all VMs but one, each before the one before it is back."""
+        async with anyio.create_task_group() as stops:
+            for number in range(len(self._vms) - 1):
+                which = step.which + number
+                stop = dataclasses.replace(step, act=plan.Act.STOP, which=which)
+                stops.start_soon(self._do, stop)
+                await anyio.sleep(ROLL_PAUSE)
+
+    async def _announce_absent(self, step: plan.Step) -> None:
+        """Register a target at an address that is held and refuses connections."""
+        self._target_numbers += 1
+        name = f"t{self._target_numbers}"
+        with socket.socket() as held:
+            held.bind((links.HOST, 0))
+            address = f"{links.HOST}:{held.getsockname()[1]}"
+            service = list(TARGETS)[step.which % len(TARGETS)]
+            value = encoding.encode_entry(service, address, targets.SLOTS, "ready")
+            self._store.put(words.TARGETS_TOPIC, name, value)
+            await anyio.sleep(step.for_s)
+            self._store.put(words.TARGETS_TOPIC, name, b"")
+
     async def _signal(self, step: plan.Step, vm: vms.Vm) -> None:
         if vm.number in self._busy:
             # A second signal to a process that is stopping or paused.
@@ -183,7 +248,7 @@
         self._store_port = await self._group.start(server.serve, links.HOST, 0)
 
     async def _make_vms(self) -> None:
-        for number in range(VMS):
+        for number in range(self._shape.vms):
             link = links.Link(self._store_port)
             await self._group.start(link.serve)
             vm = vms.Vm(number, self._folder, self._program, link)
@@ -232,12 +297,18 @@
         self._book.published.append(ledger.Published(version, moving, now))
 
 
+DEFAULT_SHAPE = Shape()
+
+
 def play(
-    seed: int, folder: pathlib.Path, program: pathlib.Path | None = None
+    seed: int,
+    folder: pathlib.Path,
+    program: pathlib.Path | None = None,
+    shape: Shape = DEFAULT_SHAPE,
 ) -> Report:
     """Play one seed and return how it went."""
     folder.mkdir(parents=True, exist_ok=True)
-    soak = Soak(seed, folder, program or vms.find_default_program())
+    soak = Soak(seed, folder, program or vms.find_default_program(), shape)
     return anyio.run(soak.run)
 
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -21,6 +21,14 @@
 FOREVER = 3600.0
 
 
+LONG_WORK = 1.0
+"""The same for one piece of work of an uneven target."""
+
+LONG_ONE_IN = 5
+"""Of so many requests an uneven target takes long for one: seldom enough that others
+expect it to be quick."""
+
+
 class Fault(enum.StrEnum):
     """How a target treats requests."""
 
@@ -42,9 +50,28 @@
     SLOW = "slow"
     """It takes long."""
 
+    UNEVEN = "uneven"
+    """It takes long at times."""
+
     UNSIGNED = "unsigned"
     """It answers without its signature."""
 
+    FOREIGN = "foreign"
+    """On a kept connection an answer to another request comes before its own."""
+
+
+STALE_ANSWER = b"\r\n".join(
+    [
+        b"HTTP/1.1 200 OK",
+        words.HEADERS.request_id + b": another",
+        words.HEADERS.signature + b": signed",
+        b"content-length: 4",
+        b"",
+        b"late",
+    ]
+)
+"""An answer to a request whose sender no longer waits."""
+
 
 class Target:
     """One target behind a faulty link."""
@@ -52,20 +79,26 @@
     def __init__(self, target_id: str, service: str, book: ledger.Ledger) -> None:
         self.target_id = target_id
         self.service = service
-        self.fault = Fault.NONE
+        self._fault = Fault.NONE
         self.link = links.Link(0)
         self.is_leaving = False
+        self._began = 0
         self._book = book
 
+    def misbehave(self, fault: Fault) -> None:
+        """Treat requests in another way from now on."""
+        self._fault = fault
+        self.link.first_back = STALE_ANSWER if fault is Fault.FOREIGN else b""
+
     async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
         """Run one request, or fail as the fault says."""
         headers = dict(incoming.request.headers)
         request_id = headers.get(words.HEADERS.request_id, b"").decode()
         if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
             return http_server.Reply(421, [], b"")
-        if self.fault is Fault.SHED:
+        if self._fault is Fault.SHED:
             return http_server.Reply(503, [(words.HEADERS.not_run, b"1")], b"")
-        status = {Fault.ERROR: 500, Fault.BARE: 503}.get(self.fault, 200)
+        status = {Fault.ERROR: 500, Fault.BARE: 503}.get(self._fault, 200)
         ran = ledger.Ran(
             request_id,
             self.target_id,
@@ -79,15 +112,20 @@
         with anyio.CancelScope() as scope:
             incoming.caller.watch(scope, lambda: True)
             await anyio.sleep(self._find_time())
+        is_cut = incoming.caller.has_left
+        self._book.ended.append(ledger.Ended(ran, is_cut, anyio.current_time()))
         return self._answer(request_id, status)
 
     def _find_time(self) -> float:
+        self._began += 1
+        if self._fault is Fault.UNEVEN and self._began % LONG_ONE_IN == 0:
+            return LONG_WORK
         times = {Fault.HANG: FOREVER, Fault.SLOW: SLOW_WORK, Fault.ERROR: 0.0}
-        return times.get(self.fault, WORK)
+        return times.get(self._fault, WORK)
 
     def _answer(self, request_id: str, status: int) -> http_server.Reply:
         headers = [(words.HEADERS.request_id, request_id.encode())]
-        if self.fault is not Fault.UNSIGNED:
+        if self._fault is not Fault.UNSIGNED:
             headers.append((words.HEADERS.signature, b"signed"))
         body = promises.make_answer(request_id) if status == 200 else b"failed"
         return http_server.Reply(status, headers, body)
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -40,7 +40,12 @@
 def test_plan_depends_on_its_seed_alone() -> None:
     assert plan.draw(7) == plan.draw(7)
     assert plan.draw(7) != plan.draw(8)
-    acts = {step.act for seed in range(50) for step in plan.draw(seed)}
+    acts = {
+        step.act
+        for kind in plan.Kind
+        for seed in range(50)
+        for step in plan.draw(seed, kind)
+    }
     assert acts == set(plan.Act)
 
 
@@ -113,6 +118,49 @@
     assert "cut" not in name_breaches(book)
 
 
+def make_cut_book(status: int, seen_at: float) -> ledger.Ledger:
+    """Return what a request leaves behind whose work was cut after 0.6 s."""
+    book = make_book()
+    book.ended.append(ledger.Ended(book.ran[0], True, 10.6))
+    book.seen["r1"] = ledger.Seen("r1", seen_at, status, False, b"")
+    return book
+
+
+@pytest.mark.parametrize("status", [0, 502])
+def test_failure_in_place_of_work_that_goes_on_is_a_breach(status: int) -> None:
+    book = make_cut_book(status, 10.8)
+    assert "given-up" in name_breaches(book)
+    book.disturbed.append(ledger.Disturbed("stop", "vm-0", 9.0, 16.0))
+    assert "given-up" in name_breaches(book)
+    book.ended[0] = ledger.Ended(book.ran[0], False, 10.6)
+    assert "given-up" not in name_breaches(book)
+
+
+@pytest.mark.parametrize(
+    ("kind", "touched"), [("target-link", "t1"), ("kill", "vm-0"), ("pause", "vm-0")]
+)
+def test_work_cut_by_a_fault_is_not_given_up(kind: str, touched: str) -> None:
+    book = make_cut_book(502, 10.8)
+    book.disturbed.append(ledger.Disturbed(kind, "another", 10.2, 12.0))
+    assert "given-up" in name_breaches(book)
+    book.disturbed.append(ledger.Disturbed(kind, touched, 10.2, 12.0))
+    assert "given-up" not in name_breaches(book)
+
+
+def test_work_cut_for_its_caller_or_its_time_is_not_given_up() -> None:
+    late = make_cut_book(504, 10.0 + promises.TIME_LIMIT)
+    assert "given-up" not in name_breaches(late)
+    left = make_cut_book(0, 10.8)
+    left.seen["r1"] = ledger.Seen("r1", 10.8, 0, False, b"", has_left=True)
+    assert "given-up" not in name_breaches(left)
+
+
+def test_work_cut_for_an_answer_of_another_target_is_not_given_up() -> None:
+    book = make_cut_book(500, 10.8)
+    book.seen["r1"] = ledger.Seen("r1", 10.8, 500, True, b"failed")
+    assert "given-up" not in name_breaches(book)
+
+
 def test_no_service_after_the_last_fault_is_a_breach() -> None:
     book = make_book()
     book.seen["r1"] = ledger.Seen("r1", 10.1, 503, False, b"")
