Let callers of a rolling soak send a second request before the answer

Seen: the soak had no caller that pipelines. Change: one request in twenty is followed at once by a lookup on the same connection, whose time runs from the end of the first; a plant for work that is broken off too soon.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import itertools
 import random
 
@@ -23,6 +24,9 @@
 LEAVES_AFTER = 0.03
 LONG_BODY = 150_000
 LONG_SHARE = 0.02
+PIPELINES = 0.05
+"""Share of requests that a second one follows before the answer."""
+
 THINK = 0.08
 """Mean seconds between two requests of a caller."""
 
@@ -48,6 +52,8 @@
         Source of randomness.
     paths : sequence of str
         Where they send to, drawn from evenly.
+    pipelines : float
+        Share of requests that a lookup follows on the connection at once.
     """
 
     def __init__(
@@ -56,8 +62,10 @@
         book: ledger.Ledger,
         rng: random.Random,
         paths: collections.abc.Sequence[str] = PATHS,
+        pipelines: float = 0.0,
     ) -> None:
         self._paths = paths
+        self._pipelines = pipelines
         self._fleet = fleet
         self._book = book
         self._rng = rng
@@ -93,16 +101,12 @@
         rng = self._rng
         path = rng.choice(self._paths) + str(rng.randrange(1000))
         size = LONG_BODY if rng.random() < LONG_SHARE else rng.randrange(400)
-        name = f"r{next(self._numbers)}"
-        sent = ledger.Sent(
-            name,
-            vm.number,
-            not path.startswith("/safe/"),
-            path,
-            rng.randbytes(size),
-            anyio.current_time(),
-        )
+        sent = self._make_sent(vm, path, size)
         self._book.sent.append(sent)
+        if rng.random() < self._pipelines:
+            second = self._make_sent(vm, "/safe/0", 0)
+            await self._exchange_both(sent, second, stream)
+            return False
         leaves = rng.random() < LEAVES
         with anyio.move_on_after(LEAVES_AFTER if leaves else PATIENCE) as scope:
             return await self._exchange(sent, stream)
@@ -110,25 +114,66 @@
             self._see(sent, 0, False, b"", has_left=leaves)
         return False
 
+    def _make_sent(self, vm: vms.Vm, path: str, size: int) -> ledger.Sent:
+        name = f"r{next(self._numbers)}"
+        is_unsafe = not path.startswith("/safe/")
+        body, now = self._rng.randbytes(size), anyio.current_time()
+        return ledger.Sent(name, vm.number, is_unsafe, path, body, now)
+
     async def _exchange(
         self, sent: ledger.Sent, stream: anyio.abc.SocketStream
     ) -> bool:
-        headers = [
-            (b"host", HOST),
-            (words.HEADERS.request_id, sent.request_id.encode()),
-            (words.HEADERS.time_left, b"%d" % int(PATIENCE * words.MILLISECONDS)),
-        ]
-        request = http_exchange.Request(
-            b"POST", sent.path.encode(), headers, sent.body, True
-        )
         try:
-            answer = await http_exchange.Exchange(stream, request).run()
+            answer = await http_exchange.Exchange(stream, _make_request(sent)).run()
         except http_exchange.BrokenAnswerError:
             self._see(sent, 0, False, b"")
             return False
+        self._see_answer(sent, answer)
+        return answer.is_reusable
+
+    async def _exchange_both(
+        self, first: ledger.Sent, second: ledger.Sent, stream: anyio.abc.SocketStream
+    ) -> None:
+        """Send two requests at once, and read both answers."""
+        requests = [_make_request(one) for one in (first, second)]
+        data = b"".join(http_exchange.encode_request(one)[1] for one in requests)
+        try:
+            await stream.send(data)
+            trailing = await self._read_one(first, stream, b"")
+        except anyio.BrokenResourceError:
+            trailing = None
+            self._see(first, 0, False, b"")
+        # Its time runs from when its turn has come.
+        second = dataclasses.replace(second, at=anyio.current_time())
+        self._book.sent.append(second)
+        if trailing is None:
+            self._see(second, 0, False, b"")
+        else:
+            await self._read_one(second, stream, trailing)
+
+    async def _read_one(
+        self, sent: ledger.Sent, stream: anyio.abc.SocketStream, had: bytes
+    ) -> bytes | None:
+        """Read an answer; return what came after it, or None where there is none."""
+        exchange = http_exchange.Exchange(stream, _make_request(sent))
+        try:
+            with anyio.fail_after(PATIENCE):
+                # Nothing at all would mean the end of the connection to the engine.
+                answer = await exchange.read_next(had or await stream.receive())
+        except (
+            http_exchange.BrokenAnswerError,
+            anyio.BrokenResourceError,
+            anyio.EndOfStream,
+            TimeoutError,
+        ):
+            self._see(sent, 0, False, b"")
+            return None
+        self._see_answer(sent, answer)
+        return answer.trailing
+
+    def _see_answer(self, sent: ledger.Sent, answer: http_exchange.Answer) -> None:
         is_signed = answer.find(words.HEADERS.signature) is not None
         self._see(sent, answer.status, is_signed, answer.body)
-        return answer.is_reusable
 
     def _see(
         self,
@@ -142,3 +187,12 @@
         self._book.seen[sent.request_id] = ledger.Seen(
             sent.request_id, now, status, is_signed, body, has_left
         )
+
+
+def _make_request(sent: ledger.Sent) -> http_exchange.Request:
+    headers = [
+        (b"host", HOST),
+        (words.HEADERS.request_id, sent.request_id.encode()),
+        (words.HEADERS.time_left, b"%d" % int(PATIENCE * words.MILLISECONDS)),
+    ]
+    return http_exchange.Request(b"POST", sent.path.encode(), headers, sent.body, True)
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -86,6 +86,17 @@
             ),
         ),
     ),
+    Plant(
+        "work is broken off long before its time limit",
+        "given-up",
+        (
+            Change(
+                f"{EDGE}/forwarder.py",
+                "limit = incoming.read_at + min(",
+                "limit = incoming.read_at + 0.3 * min(",
+            ),
+        ),
+    ),
     Plant(
         "a draining target gets new work",
         "draining",
--- a/soak/run.py
+++ b/soak/run.py
@@ -120,10 +120,11 @@
             await vm.wait_ready()
         group = self._group
         stop = anyio.Event()
-        is_rolling = self._shape.kind is plan.Kind.ROLLING
-        paths = callers.LOOKUP_PATHS if is_rolling else callers.PATHS
         rng = random.Random(self._seed)
-        load = callers.Callers(self._vms, self._book, rng, paths)
+        load = callers.Callers(self._vms, self._book, rng)
+        if self._shape.kind is plan.Kind.ROLLING:
+            paths, share = callers.LOOKUP_PATHS, callers.PIPELINES
+            load = callers.Callers(self._vms, self._book, rng, paths, share)
         for vm in self._vms:
             group.start_soon(vm.follow_readiness)
         async with anyio.create_task_group() as clients:
