--- a/soak/callers.py
+++ b/soak/callers.py
@@ -155,11 +155,10 @@
         self, sent: ledger.Sent, stream: anyio.abc.SocketStream, had: bytes
     ) -> bytes | None:
         """Read an answer; return what came after it, or None where there is none."""
-        exchange = http_exchange.Exchange(stream, _make_request(sent))
+        exchange = http_exchange.Exchange(_SentBefore(stream, had), _make_request(sent))
         try:
             with anyio.fail_after(PATIENCE):
-                # Nothing at all would mean the end of the connection to the engine.
-                answer = await exchange.read_next(had or await stream.receive())
+                answer = await exchange.run()
         except (
             http_exchange.BrokenAnswerError,
             anyio.BrokenResourceError,
@@ -189,6 +188,31 @@
         )
 
 
+class _SentBefore(anyio.abc.ByteStream):
+    """A connection on which the request was sent, and some bytes were read, before."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, had: bytes) -> None:
+        self._stream = stream
+        self._had = had
+
+    async def send(self, item: bytes) -> None:
+        """Send nothing more."""
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        """Return what was read before, then what comes."""
+        if self._had:
+            had, self._had = self._had, b""
+            return had
+        return await self._stream.receive(max_bytes)
+
+    async def send_eof(self) -> None:
+        """Leave the end of sending to the connection itself."""
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
 def _make_request(sent: ledger.Sent) -> http_exchange.Request:
     headers = [
         (b"host", HOST),
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -91,7 +91,7 @@
         "given-up",
         (
             Change(
-                f"{EDGE}/forwarder.py",
+                f"{EDGE}/request_run.py",
                 "limit = incoming.read_at + min(",
                 "limit = incoming.read_at + 0.3 * min(",
             ),
