Answer a request whose handling meets a fault

Callers saw: the connection closed after a whole request had been read, without an answer, and could not tell what became of the work. Cause: an error of the handler ended the connection's task; only the trace was kept. Change: 502 with reason internal-error, which promises nothing, since the work may have run; the trace is still noted. Ruled out: 503, which would promise that nothing ran.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import dataclasses
+import json
 import typing
 
 import anyio
@@ -40,6 +41,13 @@
 """Seconds after which a caller may come back whose body found no room: the time in
 which most requests are answered."""
 
+FAULT_STATUS = 502
+"""Status of an answer to a request whose handling met a fault of the program. The work
+may have run, so that nothing may be promised."""
+
+FAULT_BODY = json.dumps({"status": FAULT_STATUS, "reason": "internal-error"}).encode()
+"""Body of such an answer (RFC 9457)."""
+
 MOST_CONNECTIONS = 2_500
 """Connections of callers at a time. Each takes a descriptor, and so does each attempt
 at a target; together they stay below the descriptors of the smallest VMs."""
@@ -128,7 +136,7 @@
     ) -> None:
         self._handler = handler
         self._read_limits = read_limits
-        self._note_error = note_error
+        self.note_error = note_error
         self._idle: set[_Connection] = set()
         self._open = 0
         self.in_flight = 0
@@ -176,7 +184,7 @@
         except Exception as error:
             # Without this, a fault met by one request would end the listener and
             # with it every other request of this VM.
-            self._note_error(error)
+            self.note_error(error)
         finally:
             self._open -= 1
             self._idle.discard(connection)
@@ -253,13 +261,26 @@
         reply: Reply | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch, incoming.caller)
-            reply = await self._handler.handle(incoming)
+            reply = await self._handle(incoming)
             group.cancel_scope.cancel()
         if reply is None or incoming.caller.has_left:
             return False
         await self._send(reply, must_close=self._server.is_stopping)
         return True
 
+    async def _handle(self, incoming: Incoming) -> Reply:
+        """Return the handler's answer, or one that admits a fault.
+
+        A connection that closes instead leaves the caller to guess, and a fault of one
+        request would break the promise to answer what was read.
+        """
+        try:
+            return await self._handler.handle(incoming)
+        except Exception as error:
+            self._server.note_error(error)
+            headers = [(b"content-type", b"application/problem+json")]
+            return Reply(FAULT_STATUS, headers, FAULT_BODY)
+
     async def _watch(self, caller: Caller) -> None:
         """Read ahead while a request is under way, to notice that the caller left."""
         received = 0
