Write answers that the HTTP engine refuses

Callers saw: a closed connection after the work was done, for HEAD where the answer is the proxy's own, for 204 and 304 with a body, and for a header that HTTP does not allow. Cause: the engine raises on a body where none is allowed, after which nothing was sent. Change: such bodies are left out; an answer that is refused for anything else is replaced by 502 internal-error with its trace noted. Ruled out: the handler's faults, which have an answer already.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -48,6 +48,17 @@
 FAULT_BODY = json.dumps({"status": FAULT_STATUS, "reason": "internal-error"}).encode()
 """Body of such an answer (RFC 9457)."""
 
+FAULT_ANSWER = (
+    b"HTTP/1.1 %d \r\ncontent-type: application/problem+json\r\n"
+    b"content-length: %d\r\nconnection: close\r\n\r\n%b"
+    % (FAULT_STATUS, len(FAULT_BODY), FAULT_BODY)
+)
+"""The same as it stands on a connection. The engine writes nothing more once it has
+refused an answer, so that this goes out beside it and the connection closes."""
+
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses whose answers have no body; the engine refuses one."""
+
 MOST_CONNECTIONS = 2_500
 """Connections of callers at a time. Each takes a descriptor, and so does each attempt
 at a target; together they stay below the descriptors of the smallest VMs."""
@@ -265,7 +276,7 @@
             group.cancel_scope.cancel()
         if reply is None or incoming.caller.has_left:
             return False
-        await self._send(reply, must_close=self._server.is_stopping)
+        await self._send(reply, self._server.is_stopping, incoming.request.method)
         return True
 
     async def _handle(self, incoming: Incoming) -> Reply:
@@ -404,18 +415,28 @@
         except h11.RemoteProtocolError as error:
             raise _BadRequestError(error.error_status_hint) from error
 
-    async def _send(self, reply: Reply, must_close: bool) -> None:
-        headers = list(reply.headers)
-        headers.append((b"content-length", str(len(reply.body)).encode()))
+    async def _send(self, reply: Reply, must_close: bool, method: bytes = b"") -> None:
+        try:
+            data = self._encode(reply, must_close, method)
+        except h11.LocalProtocolError as error:
+            # The work is done; without an answer its caller could only guess.
+            self._server.note_error(error)
+            data = FAULT_ANSWER
+        with anyio.fail_after(self._limits.idle_timeout):
+            await self.stream.send(data)
+
+    def _encode(self, reply: Reply, must_close: bool, method: bytes) -> bytes:
+        is_bodiless = reply.status in BODILESS_STATUSES
+        body = b"" if is_bodiless or method == b"HEAD" else reply.body
+        size = 0 if is_bodiless else len(reply.body)
+        headers = [*reply.headers, (b"content-length", str(size).encode())]
         if must_close:
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
         data = self._engine.send(head) or b""
-        if reply.body:
-            data += self._engine.send(h11.Data(data=reply.body)) or b""
-        data += self._engine.send(h11.EndOfMessage()) or b""
-        with anyio.fail_after(self._limits.idle_timeout):
-            await self.stream.send(data)
+        if body:
+            data += self._engine.send(h11.Data(data=body)) or b""
+        return data + (self._engine.send(h11.EndOfMessage()) or b"")
 
 
 def _measure_head(head: h11.Request) -> int:
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -26,12 +26,15 @@
         self.delay = 0.0
         self.seen: list[http_server.Incoming] = []
         self.error: Exception | None = None
+        self.reply: http_server.Reply | None = None
 
     async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
         self.seen.append(incoming)
         if self.error is not None:
             raise self.error
         await anyio.sleep(self.delay)
+        if self.reply is not None:
+            return self.reply
         return http_server.Reply(200, [], incoming.request.body)
 
 
@@ -163,6 +166,34 @@
         assert b"200" in await running.ask(make_request())
 
 
+@pytest.mark.parametrize(
+    ("request_line", "status"), [(b"HEAD / HTTP/1.1", 502), (b"POST / HTTP/1.1", 204)]
+)
+async def test_answer_that_may_have_no_body_goes_out_without_it(
+    request_line: bytes, status: int
+) -> None:
+    # The answer has a body where none is allowed: the proxy's own explanation for HEAD,
+    # or what a target sent with 204. Writing it failed after the work was done, and the
+    # caller saw a closed connection.
+    async with run_server() as running:
+        running.echo.reply = http_server.Reply(status, [], b"not allowed here")
+        answer = await running.ask(request_line + b"\r\nHost: h\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert answer.endswith(b"\r\n\r\n")
+        assert running.errors == []
+
+
+async def test_answer_that_cannot_be_written_is_replaced_by_one_that_can() -> None:
+    # A header of the answer is not allowed in HTTP. The work is done and the caller saw
+    # a closed connection; it must get an answer that promises nothing.
+    async with run_server() as running:
+        running.echo.reply = http_server.Reply(200, [(b"x", b"a\nb")], b"")
+        answer = await running.ask(make_request())
+        assert answer.startswith(b"HTTP/1.1 502 ")
+        assert b"internal-error" in answer
+        assert len(running.errors) == 1
+
+
 async def test_stopping_server_says_so_and_closes_after_the_answer() -> None:
     async with run_server() as running:
         running.server.is_stopping = True
