Give a caller that only stops sending its answer

Callers saw: a closed connection without an answer, after they had closed their sending side and the work, which may run only once, had been done. Cause: the end of what a caller sends was taken for its leaving, and the answer that was ready was thrown away. Change: it is sent; where nobody is there, that fails as any send does. Idempotent work is still cancelled then. Test: failed before, passes after, with all others of tests/edge/test_http_server.py.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -274,10 +274,12 @@
             group.start_soon(self._watch, incoming.caller)
             reply = await self._handle(incoming)
             group.cancel_scope.cancel()
-        if reply is None or incoming.caller.has_left:
+        if reply is None:
             return False
-        await self._send(reply, self._server.is_stopping, incoming.request.method)
-        return True
+        # A caller that has left may have closed its sending side only.
+        must_close = self._server.is_stopping or incoming.caller.has_left
+        await self._send(reply, must_close, incoming.request.method)
+        return not incoming.caller.has_left
 
     async def _handle(self, incoming: Incoming) -> Reply:
         """Return the handler's answer, or one that admits a fault.
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -194,6 +194,17 @@
         assert len(running.errors) == 1
 
 
+async def test_caller_that_only_stops_sending_gets_its_answer() -> None:
+    # A caller closes its sending side and waits for the answer, as tools on the command
+    # line do. Its work may run only once and goes on; the answer was then thrown away.
+    async with run_server() as running, await running.connect() as stream:
+        running.echo.delay = 0.2
+        await stream.send(make_request(b"x"))
+        await stream.send_eof()
+        assert (await read_all(stream)).endswith(b"x")
+        assert running.echo.seen[0].caller.has_left
+
+
 async def test_stopping_server_says_so_and_closes_after_the_answer() -> None:
     async with run_server() as running:
         running.server.is_stopping = True
