Close a connection without a reset for callers that send on

Callers saw: a reset right after an answer that closed the connection, where they had sent more meanwhile; the answer may be lost with it. Cause: the connection was closed with bytes unread, for which the kernel resets it. Change: after the last answer, only the sending side closes; what still comes is read off and never handed on, until the caller closes or half a second has passed. It costs nothing on a kept connection. Ruled out: reading no more and waiting longer, which leaves the bytes unread. Test: reset before the change; it passes after, with all others of tests/edge/test_http_server.py.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -24,9 +24,10 @@
 """Connections that may wait to be accepted. When the queue is full the opening packet
 is dropped and comes again only after seconds."""
 
-LINGER = 0.05
-"""Seconds between the last answer on a connection and its close, so that a caller that
-sends on reads the answer before it sees a reset."""
+LINGER = 0.5
+"""Most seconds between the last answer on a connection and its close, so that a caller
+that sends on reads the answer before it sees a reset. Most close at once; a busy one
+takes some tenths, and a stop waits for as long."""
 
 FIELD_BYTES = 4
 """Bytes of a header field beside its name and value: a colon, a space, an end."""
@@ -151,6 +152,7 @@
         self._idle: set[_Connection] = set()
         self._open = 0
         self.in_flight = 0
+        self.lingering = 0
         self.held_bytes = 0
         self.is_stopping = False
 
@@ -251,7 +253,7 @@
             except _BadRequestError as error:
                 reply = Reply(error.status, error.headers, b"")
                 await self._send(reply, must_close=True)
-                await anyio.sleep(LINGER)
+                await self._linger()
                 return
             if incoming is None:
                 return
@@ -261,12 +263,34 @@
             finally:
                 self._server.in_flight -= 1
                 self._release_body()
-            if not is_open or self._engine.our_state is not h11.DONE:
-                return
-            if self._engine.their_state is not h11.DONE:
+            if not (is_open and self._may_go_on()):
+                await self._linger()
                 return
             self._engine.start_next_cycle()
 
+    def _may_go_on(self) -> bool:
+        """Return whether both sides are done with an exchange and keep going."""
+        return (
+            self._engine.our_state is h11.DONE and self._engine.their_state is h11.DONE
+        )
+
+    async def _linger(self) -> None:
+        """Say that nothing more comes, and read off what the caller still sends.
+
+        Bytes left unread at the close would make the kernel reset the connection, and
+        the caller could lose the answer. What is read here is never handed on.
+        """
+        self._server.lingering += 1
+        try:
+            await self.stream.send_eof()
+            with anyio.move_on_after(LINGER):
+                while True:
+                    await self.stream.receive()
+        except anyio.EndOfStream:
+            return  # The caller has read to the end, and closed its side.
+        finally:
+            self._server.lingering -= 1
+
     async def _answer(self, incoming: Incoming) -> bool:
         """Answer one request; return whether the connection goes on."""
         reply: Reply | None = None
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -205,6 +205,27 @@
         assert running.echo.seen[0].caller.has_left
 
 
+async def test_close_after_an_answer_is_no_reset_for_a_caller_that_sends_on() -> None:
+    # A caller sends a long request behind the first one; the answer to the first says
+    # that the connection closes. The close used to leave bytes unread, for which the
+    # kernel resets the connection, and the caller may lose the answer already sent.
+    # What came behind must never be run: its caller may send it again.
+    async with run_server() as running, await running.connect() as stream:
+        running.server.is_stopping = True
+        running.echo.delay = 0.2
+        await stream.send(make_request(b"x"))
+        for _ in range(5):
+            await anyio.sleep(0.02)
+            await stream.send(make_request(b"y" * 1500))
+        data = b""
+        with anyio.fail_after(5.0), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                data += await stream.receive()
+        assert data.endswith(b"x")
+        assert data.count(b"HTTP/1.1") == 1
+        assert len(running.echo.seen) == 1
+
+
 async def test_stopping_server_says_so_and_closes_after_the_answer() -> None:
     async with run_server() as running:
         running.server.is_stopping = True
