Answer requests that are being read when a stop finds nothing in flight

Callers saw: a closed connection, where a head or body was on its way at a stop, or where a request arrived at the moment at which idle connections close. Cause: a stop counted whole requests only, and closed idle connections without looking at what had arrived. Change: it counts every connection on which something is owed (being read, answered, or lingering after an answer), within its limit as before; an idle one is read once more for 20 ms before it closes. The counts are those that were kept anyway. Ruled out: waiting for idle connections, which are owed nothing.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -374,7 +374,7 @@
         )
         await anyio.sleep(self._settings.unready_after)
         await self._callers.close_idle()
-        while self._callers.in_flight and anyio.current_time() < limit:
+        while self._callers.is_owing() and anyio.current_time() < limit:
             await anyio.sleep(STOP_POLL)
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -29,6 +29,10 @@
 that sends on reads the answer before it sees a reset. Most close at once; a busy one
 takes some tenths, and a stop waits for as long."""
 
+LAST_LOOK = 0.02
+"""Seconds for which an idle connection is read once more before it closes: what has
+arrived by then is read in a few turns of the loop."""
+
 FIELD_BYTES = 4
 """Bytes of a header field beside its name and value: a colon, a space, an end."""
 
@@ -173,9 +177,24 @@
             await listener.serve(self._serve_connection)
 
     async def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
+        """Close the connections on which no request is under way or about to be read.
+
+        They end by themselves, LAST_LOOK later at most.
+        """
         for connection in list(self._idle):
-            await anyio.aclose_forcefully(connection.stream)
+            connection.end_idle()
+
+    def is_owing(self) -> bool:
+        """Return whether a request is being read, answered, or its answer read off."""
+        return self._open > len(self._idle)
+
+    def count_open(self) -> int:
+        """Return how many connections there are."""
+        return self._open
+
+    def count_reading(self) -> int:
+        """Return on how many connections a request has begun and is not whole yet."""
+        return self._open - len(self._idle) - self.in_flight - self.lingering
 
     def note_idle(self, connection: _Connection, is_idle: bool) -> None:
         """Take in whether a connection waits for a request."""
@@ -237,6 +256,12 @@
         self._limits = limits
         self._first_byte_at: float | None = None
         self._held_bytes = 0
+        self._idle_scope: anyio.CancelScope | None = None
+
+    def end_idle(self) -> None:
+        """Wait no longer for a request."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
@@ -377,18 +402,30 @@
     async def _receive_head(self) -> bool:
         """Read more of a head; return False where the connection ends before one."""
         if self._first_byte_at is None:
-            self._server.note_idle(self, is_idle=True)
-            with anyio.move_on_after(self._limits.idle_timeout):
-                is_open = await self._receive()
-                self._server.note_idle(self, is_idle=False)
-                self._first_byte_at = anyio.current_time()
-                return is_open
-            return False
+            is_open = await self._wait_for_request()
+            self._first_byte_at = anyio.current_time()
+            return is_open
         left = self._first_byte_at + self._limits.head_timeout - anyio.current_time()
         with anyio.move_on_after(left):
             return await self._receive()
         raise _BadRequestError(408)
 
+    async def _wait_for_request(self) -> bool:
+        """Return whether a request begins before the connection is idle for too long.
+
+        The last look is for a request that arrived just then: it is there to be read,
+        and its caller would see it cut off.
+        """
+        self._server.note_idle(self, is_idle=True)
+        try:
+            with anyio.move_on_after(self._limits.idle_timeout) as self._idle_scope:
+                return await self._receive()
+        finally:
+            self._server.note_idle(self, is_idle=False)
+        with anyio.move_on_after(LAST_LOOK):
+            return await self._receive()
+        return False
+
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import os
 
 import anyio
 import anyio.abc
@@ -65,6 +66,12 @@
     return data
 
 
+async def wait_until(condition: collections.abc.Callable[[], bool]) -> None:
+    with anyio.fail_after(5.0):
+        while not condition():
+            await anyio.sleep(0.005)
+
+
 @contextlib.asynccontextmanager
 async def run_server() -> collections.abc.AsyncIterator[Running]:
     running = Running()
@@ -245,6 +252,40 @@
             assert await read_all(idle, 0.2) == b""
 
 
+async def test_request_that_is_there_when_idle_connections_close_is_answered() -> None:
+    # A kept connection is idle. Its caller sends a request at the moment at which a
+    # stop closes the idle ones: it is there to be read, and was thrown away.
+    async with run_server() as running, await running.connect() as stream:
+        await stream.send(make_request(b"one"))
+        assert (await stream.receive()).endswith(b"one")
+        running.server.is_stopping = True
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        os.write(raw.fileno(), make_request(b"two"))
+        await running.server.close_idle()
+        assert (await read_all(stream)).endswith(b"two")
+
+
+async def test_unsettled_connections_are_those_that_are_owed_something() -> None:
+    # A stop ends the process once nothing is owed. A request whose head has begun, a
+    # body that is on its way and an answer that is read off count; idle ones do not.
+    async with (
+        run_server() as running,
+        await running.connect() as idle,
+        await running.connect() as begun,
+    ):
+        server = running.server
+        await wait_until(lambda: server.count_open() == 2)
+        await wait_until(lambda: not server.is_owing())
+        await begun.send(make_request(b"abc")[:-1])
+        await wait_until(server.is_owing)
+        assert server.count_reading() == 1
+        assert server.in_flight == 0
+        await begun.send(b"c")
+        assert (await begun.receive()).endswith(b"abc")
+        await wait_until(lambda: not server.is_owing())
+        assert await read_all(idle, 0.01) == b""
+
+
 async def test_bodies_are_bounded_together(monkeypatch: pytest.MonkeyPatch) -> None:
     # Many callers send long bodies while targets are slow. Each body is within its
     # limit, and together they exceed the VM's memory: the process is killed, and
