Go on accepting after an accept that failed

Callers saw: all connections of a VM cut at once, answers under way included. Cause: where a descriptor was missing for a moment, the library's accept loop raised and its task group cancelled every connection that it had accepted. Ruled out: starting the listener again, which cuts off as much. Test: an accept that fails with EMFILE; the request under way was cut before the change.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -18,7 +18,7 @@
 
 from zinniastand_core.deployment import configuration
 
-from . import http_exchange
+from . import accepting, http_exchange
 
 BACKLOG = 1024
 """Connections that may wait to be accepted. When the queue is full the opening packet
@@ -174,7 +174,9 @@
         async with listener:
             raw = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started(raw)
-            await listener.serve(self._serve_connection)
+            await accepting.accept_all(
+                listener, self._serve_connection, self.note_error
+            )
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is under way or about to be read.
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -4,10 +4,14 @@
 
 import collections.abc
 import contextlib
+import errno
 import os
+import socket
+import typing
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 import pytest
 
 from zinniastand_core.deployment import configuration
@@ -81,6 +85,18 @@
         group.cancel_scope.cancel()
 
 
+@contextlib.contextmanager
+def refuse_descriptors() -> collections.abc.Iterator[None]:
+    """Let no accept succeed, as where the process has no descriptor left."""
+
+    def refuse(_: socket.socket) -> typing.NoReturn:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(socket.socket, "accept", refuse)
+        yield
+
+
 def make_request(body: bytes = b"", headers: bytes = b"") -> bytes:
     length = b"Content-Length: %d\r\n" % len(body)
     return b"POST /a?b HTTP/1.1\r\nHost: h\r\n" + headers + length + b"\r\n" + body
@@ -233,6 +249,25 @@
         assert len(running.echo.seen) == 1
 
 
+async def test_accept_that_fails_cuts_nobody_off() -> None:
+    # The process is out of descriptors for a moment, so that a connection cannot be
+    # accepted. That ended the listener, and every request under way was cut off. They
+    # must be answered, and the connection accepted once a descriptor is free.
+    async with run_server() as running, await running.connect() as busy:
+        running.echo.delay = 0.5
+        await busy.send(make_request(b"x"))
+        await wait_until(lambda: running.server.in_flight == 1)
+        with refuse_descriptors():
+            late = socket.create_connection(("127.0.0.1", running.port), timeout=5.0)
+            await wait_until(lambda: bool(running.errors))
+        assert isinstance(running.errors[0], OSError)
+        assert (await busy.receive()).endswith(b"x")
+        with late:
+            late.sendall(make_request(b"y"))
+            answer = await anyio.to_thread.run_sync(late.recv, 1000)
+        assert answer.endswith(b"y")
+
+
 async def test_stopping_server_says_so_and_closes_after_the_answer() -> None:
     async with run_server() as running:
         running.server.is_stopping = True
