Cut no request for a fault beside it

Callers saw: all requests of a VM cut at once when a task beside them met a fault of the program (dispatch, opinions, greetings, idle connections, log, knowledge, settings, datagrams, the configuration for peers), or when a stop could not tell the others. Cause: such an error ended the task group that holds the listeners; a stop ended at its first failed step; a VM's record with a port that does not exist made telling raise. A listener whose port is taken still ends the start. Ruled out: catching in each task, which the next new task would forget.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -30,6 +31,7 @@
     peer_link,
     placement,
     ports,
+    supervision,
     target_client,
     vocabulary,
 )
@@ -140,6 +142,9 @@
         the listeners and of the record that other VMs know, and wait for the next
         start. Settings with findings are refused whole: the former ones stay in force.
         """
+        supervision.attempt("reload", self._take_settings, self._note_fault)
+
+    def _take_settings(self) -> None:
         if self._settings_file is None:
             return
         loaded = self._settings_file.load()
@@ -163,36 +168,59 @@
     ) -> None:
         """Run until stopped; started once the listeners are up."""
         self._build()
-        settings = self._settings
         self._log.write("started", incarnation=self._fleet.own.incarnation)
+        with contextlib.closing(self._link):
+            await self._serve(task_status)
+        for name, close in (
+            ("close targets", self._client.close),
+            ("close store", self._store.close),
+        ):
+            await supervision.attempt_async(name, close, self._note_fault)
+        self._log.write("stopped", cut_off=self._callers.in_flight)
+        self._log.flush()
+
+    async def _serve(self, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run the listeners and the tasks beside them until stopped."""
+        settings = self._settings
         async with anyio.create_task_group() as group:
             self._scope = group.cancel_scope
-            peers = settings.peers
-            group.start_soon(self._link.run, self._receive)
-            group.start_soon(
-                configuration_exchange.serve, peers.host, peers.port, self._read_current
-            )
             for server, address in (
                 (self._callers, settings.callers),
                 (self._readiness, settings.readiness),
                 (self._exporter, settings.metrics),
             ):
                 await group.start(server.serve, address.host, address.port)
-            group.start_soon(self._keeper.run)
-            group.start_soon(self._wake_desk)
-            group.start_soon(self._tell_opinions)
-            group.start_soon(self._greet)
-            group.start_soon(self._close_idle)
-            group.start_soon(self._log.run)
-            group.start_soon(self._follow_settings)
+            for name, task in self._list_tasks():
+                group.start_soon(supervision.keep_running, name, task, self._note_fault)
             task_status.started()
             await self._stop_wanted.wait()
             await self._stop()
             group.cancel_scope.cancel()
-        await self._client.close()
-        await self._store.close()
-        self._log.write("stopped", cut_off=self._callers.in_flight)
-        self._log.flush()
+
+    def _list_tasks(
+        self,
+    ) -> list[
+        tuple[str, collections.abc.Callable[[], collections.abc.Awaitable[None]]]
+    ]:
+        """Return the tasks that run beside the requests, with their names."""
+        return [
+            ("receive datagrams", self._receive_datagrams),
+            ("serve configuration", self._serve_configuration),
+            ("keep knowledge", self._keeper.run),
+            ("wake desk", self._wake_desk),
+            ("tell opinions", self._tell_opinions),
+            ("greet", self._greet),
+            ("close idle", self._close_idle),
+            ("write log", self._log.run),
+            ("follow settings", self._follow_settings),
+        ]
+
+    async def _receive_datagrams(self) -> None:
+        await self._link.run(self._receive)
+
+    async def _serve_configuration(self) -> None:
+        peers = self._settings.peers
+        await configuration_exchange.serve(peers.host, peers.port, self._read_current)
 
     def _build(self) -> None:
         settings, log = self._settings, self._log
@@ -249,8 +277,11 @@
         return current.limits if current is not None else configuration.Limits()
 
     def _note_error(self, error: BaseException) -> None:
+        self._note_fault("serve", error)
+
+    def _note_fault(self, task: str, error: BaseException) -> None:
         text = "".join(traceback.format_exception(error))
-        self._log.write("unexpected_error", trace=text[-MOST_TRACE:])
+        self._log.write("unexpected_error", task=task, trace=text[-MOST_TRACE:])
 
     def _answer_readiness(self) -> http_server.Reply:
         is_ready = self._keeper.is_complete and not self._is_stopping
@@ -339,6 +370,13 @@
                 [member for member in successors if member is not None],
             )
 
+    def _tell_all_opinions(self) -> None:
+        self._tell_opinions_now(to_all=True)
+
+    def _tell_leaving(self) -> None:
+        leaving = datagrams.Leaving(self._fleet.own.vm)
+        self._link.send_many(leaving, self._fleet.list_others())
+
     async def _greet(self) -> None:
         while True:
             await anyio.sleep(GREET_PAUSE)
@@ -368,10 +406,11 @@
         self._is_stopping = True
         self._callers.is_stopping = True
         self._log.write("stopping", in_flight=self._callers.in_flight)
-        self._tell_opinions_now(to_all=True)
-        self._link.send_many(
-            datagrams.Leaving(self._fleet.own.vm), self._fleet.list_others()
-        )
+        for name, tell in (
+            ("tell opinions", self._tell_all_opinions),
+            ("tell leaving", self._tell_leaving),
+        ):
+            supervision.attempt(name, tell, self._note_fault)
         await anyio.sleep(self._settings.unready_after)
         await self._callers.close_idle()
         while self._callers.is_owing() and anyio.current_time() < limit:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/peer_link.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/peer_link.py
@@ -45,13 +45,16 @@
         self.unsent = 0
 
     async def run(self, receive: Receive) -> None:
-        """Receive until cancelled."""
-        with self._socket:
-            while True:
-                await anyio.wait_readable(self._socket)
-                for _ in range(MOST_AT_ONCE):
-                    if not self._receive_one(receive):
-                        break
+        """Receive until cancelled; can be run again after a fault."""
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(MOST_AT_ONCE):
+                if not self._receive_one(receive):
+                    break
+
+    def close(self) -> None:
+        """Give the port back."""
+        self._socket.close()
 
     def send(self, message: datagrams.Message, member: ports.Member) -> None:
         """Send one message; it may be lost, like any datagram."""
@@ -70,9 +73,10 @@
         for member in members:
             try:
                 self._socket.sendto(data, (member.host, member.port))
-            except OSError:
-                # No room, no route, or nobody there: all the same to the sender,
-                # who asks again or does without.
+            except (OSError, OverflowError, ValueError):
+                # No room, no route, nobody there, or an address that is none: all the
+                # same to the sender, who asks again or does without. One VM with such
+                # an address must not keep the others from hearing.
                 self.unsent += 1
                 continue
             self.sent += 1
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
+import typing
 
 import anyio
 import anyio.abc
@@ -11,9 +13,20 @@
 
 from zinniastand_core.deployment import configuration
 from zinniastand_platform import encoding
+from zinniastand_proxy.edge import (
+    desk,
+    knowledge_keeper,
+    log_lines,
+    members,
+    target_client,
+)
 
 pytestmark = pytest.mark.anyio
 
+Break = collections.abc.Callable[[edge_site.Vm], None]
+
+RUN_KEEPER = knowledge_keeper.KnowledgeKeeper.run
+
 REQUEST = (
     b"POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id-1\r\n"
     b"X-Deadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello"
@@ -67,3 +80,80 @@
             await anyio.sleep(1.0)
             await stream.send(REQUEST[sent:])
             assert (await receive_answer(stream)).startswith(b"HTTP/1.1 200 ")
+
+
+async def answer_despite(site: edge_site.Site, break_it: Break) -> edge_site.Vm:
+    """Break something while a request is under way; return once it is answered."""
+    vm = await start_vm(site)
+    site.targets["t1"].delay = 1.5
+    async with await connect(vm) as stream:
+        await stream.send(REQUEST)
+        await edge_site.wait_until(lambda: site.targets["t1"].ran == ["id-1"])
+        break_it(vm)
+        answer = await receive_answer(stream)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    return vm
+
+
+def fail(*_: object, **__: object) -> typing.NoReturn:
+    raise RuntimeError("a fault")
+
+
+@pytest.mark.parametrize(
+    ("owner", "function", "task"),
+    [
+        (desk.Desk, "wake", "wake desk"),
+        (desk.Desk, "list_busy", "tell opinions"),
+        (members.Members, "list_suspects", "greet"),
+        (target_client.TargetClient, "close_idle", "close idle"),
+        (log_lines.LogLines, "flush", "write log"),
+        (knowledge_keeper.KnowledgeKeeper, "run", "keep knowledge"),
+    ],
+)
+async def test_fault_in_a_background_task_cuts_no_request(
+    monkeypatch: pytest.MonkeyPatch, owner: type, function: str, task: str
+) -> None:
+    # A task beside the requests meets a fault of the program. All requests under way
+    # were cut off with it, and the process ended. They must be answered, the fault be
+    # noted with the name of its task, and the task go on once the fault has passed.
+    if function == "run":
+        monkeypatch.setattr(owner, function, fail_later)
+    async with edge_site.run_site() as site:
+
+        def break_it(_: edge_site.Vm) -> None:
+            if function != "run":
+                monkeypatch.setattr(owner, function, fail)
+
+        vm = await answer_despite(site, break_it)
+        if function != "run":
+            monkeypatch.undo()
+        await edge_site.wait_until(
+            lambda: (
+                task in {line["task"] for line in list_events(vm, "unexpected_error")}
+            )
+        )
+        assert (await edge_site.call(vm, time_left=4000)).status_code == 200
+
+
+async def fail_later(keeper: knowledge_keeper.KnowledgeKeeper) -> None:
+    """Keep the knowledge for long enough to become ready; then fail."""
+    with anyio.move_on_after(1.0):
+        await RUN_KEEPER(keeper)
+    raise RuntimeError("a fault")
+
+
+async def test_fault_in_telling_others_does_not_shorten_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A VM is stopped, and telling the others that it leaves meets a fault. The stop
+    # ended there, and with it the requests under way.
+    async with edge_site.run_site() as site:
+
+        def break_it(vm: edge_site.Vm) -> None:
+            monkeypatch.setattr(members.Members, "list_others", fail)
+            vm.daemon.stop()
+
+        vm = await answer_despite(site, break_it)
+        await edge_site.wait_until(lambda: bool(list_events(vm, "stopped")))
+        faults = list_events(vm, "unexpected_error")
+        assert "tell leaving" in {line["task"] for line in faults}
