Give a stop time to write its last answers, and say what it cut off

Callers saw: a closed connection for an answer that was ready at the limit of a stop. On call, the log said cut_off 0 whatever was cut, since it counted after the cut. Cause: the process ended at the limit itself, and counted once connections had ended. Ruled out, with a test: a second SIGTERM or new settings during a stop; both kept its limit before too.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -31,6 +31,7 @@
     peer_link,
     placement,
     ports,
+    stopping,
     supervision,
     target_client,
     vocabulary,
@@ -62,12 +63,6 @@
 IDLE_PAUSE = 1.0
 """Seconds between two closings of idle connections."""
 
-STOP_MARGIN = 0.4
-"""Seconds before the limit of a stop at which the process ends by itself."""
-
-STOP_POLL = 0.02
-"""Seconds between two looks for requests in flight while stopping."""
-
 MOST_TRACE = 2_000
 """Characters of a traceback that go into the log: its end names the place."""
 
@@ -77,8 +72,8 @@
 CHANGEABLE = frozenset({"retries", "stop_limit", "unready_after"})
 """Settings that a running process can change."""
 
-INCARNATION_SCALE = 1000
-"""Incarnations are milliseconds of unix time."""
+MILLISECONDS = 1000
+"""In a second. Incarnations are milliseconds of unix time."""
 
 
 class EdgeDaemon:
@@ -117,12 +112,24 @@
         self._rng = rng
         self._is_stopping = False
         self._stop_wanted = anyio.Event()
+        self._ended: stopping.Ended | None = None
         self.metrics = metrics.Metrics()
 
     def stop(self) -> None:
         """Begin a graceful stop."""
         self._stop_wanted.set()
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Refuse readiness, and give each request its answer by a time."""
+        self._is_stopping = True
+        self._callers.is_stopping = True
+        self._log.write(
+            "stopping",
+            in_flight=self._callers.in_flight,
+            reading=self._callers.count_reading(),
+            limit_ms=round((answer_by - anyio.current_time()) * MILLISECONDS),
+        )
+
     def kill(self) -> None:
         """End at once, without a word to anybody; for tests of failures."""
         self._scope.cancel()
@@ -176,9 +183,19 @@
             ("close store", self._store.close),
         ):
             await supervision.attempt_async(name, close, self._note_fault)
-        self._log.write("stopped", cut_off=self._callers.in_flight)
+        self._log_stopped()
         self._log.flush()
 
+    def _log_stopped(self) -> None:
+        ended = self._ended
+        if ended is not None:
+            self._log.write(
+                "stopped",
+                cut_off=ended.cut_off,
+                cut_reading=ended.cut_reading,
+                ms=round(ended.took * MILLISECONDS),
+            )
+
     async def _serve(self, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Run the listeners and the tasks beside them until stopped."""
         settings = self._settings
@@ -194,7 +211,10 @@
                 group.start_soon(supervision.keep_running, name, task, self._note_fault)
             task_status.started()
             await self._stop_wanted.wait()
-            await self._stop()
+            settings = self._settings
+            times = stopping.Times(settings.stop_limit, settings.unready_after)
+            ended = await stopping.stop(self, self._callers, times, self._note_fault)
+            self._ended = ended
             group.cancel_scope.cancel()
 
     def _list_tasks(
@@ -232,7 +252,7 @@
             settings.data_centre,
             peers.host,
             self._link.port,
-            int(time.time() * INCARNATION_SCALE),
+            int(time.time() * MILLISECONDS),
         )
         self._fleet = members.Members(own, now)
         self._configured = configuration.ConfigurationState()
@@ -344,6 +364,15 @@
             reply = datagrams.Hello(self._fleet.own, wants_answer=False)
             self._link.send(reply, hello.member)
 
+    def tell_opinions(self) -> None:
+        """Tell the others what this VM thinks of targets."""
+        self._tell_opinions_now(to_all=True)
+
+    def tell_leaving(self) -> None:
+        """Tell the others that this VM leaves."""
+        leaving = datagrams.Leaving(self._fleet.own.vm)
+        self._link.send_many(leaving, self._fleet.list_others())
+
     async def _wake_desk(self) -> None:
         while True:
             await anyio.sleep(WAKE_PAUSE)
@@ -370,13 +399,6 @@
                 [member for member in successors if member is not None],
             )
 
-    def _tell_all_opinions(self) -> None:
-        self._tell_opinions_now(to_all=True)
-
-    def _tell_leaving(self) -> None:
-        leaving = datagrams.Leaving(self._fleet.own.vm)
-        self._link.send_many(leaving, self._fleet.list_others())
-
     async def _greet(self) -> None:
         while True:
             await anyio.sleep(GREET_PAUSE)
@@ -395,27 +417,6 @@
             await anyio.sleep(IDLE_PAUSE)
             await self._client.close_idle(anyio.current_time())
 
-    async def _stop(self) -> None:
-        """Stop in the order that cuts nobody off.
-
-        The balancer goes on sending until it has noticed that readiness is gone, and
-        those requests are served. Only then do idle connections close, and the
-        process ends when nothing is under way or the limit is near.
-        """
-        limit = anyio.current_time() + self._settings.stop_limit - STOP_MARGIN
-        self._is_stopping = True
-        self._callers.is_stopping = True
-        self._log.write("stopping", in_flight=self._callers.in_flight)
-        for name, tell in (
-            ("tell opinions", self._tell_all_opinions),
-            ("tell leaving", self._tell_leaving),
-        ):
-            supervision.attempt(name, tell, self._note_fault)
-        await anyio.sleep(self._settings.unready_after)
-        await self._callers.close_idle()
-        while self._callers.is_owing() and anyio.current_time() < limit:
-            await anyio.sleep(STOP_POLL)
-
 
 class _Page:
     """A handler with one answer."""
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import dataclasses
+import pathlib
 import typing
 
 import anyio
@@ -18,6 +19,7 @@
     knowledge_keeper,
     log_lines,
     members,
+    stopping,
     target_client,
 )
 
@@ -157,3 +159,102 @@
         await edge_site.wait_until(lambda: bool(list_events(vm, "stopped")))
         faults = list_events(vm, "unexpected_error")
         assert "tell leaving" in {line["task"] for line in faults}
+
+
+class FakeVm:
+    """A VM whose one request has its answer, and writes it, `late` after the limit."""
+
+    def __init__(self, late: float) -> None:
+        self.late = late
+        self.answer_by = 0.0
+
+    def begin_stop(self, answer_by: float) -> None:
+        self.answer_by = answer_by
+
+    def tell_opinions(self) -> None:
+        raise RuntimeError("a fault")
+
+    def tell_leaving(self) -> None:
+        raise RuntimeError("a fault")
+
+    @property
+    def in_flight(self) -> int:
+        return int(anyio.current_time() < self.answer_by + self.late)
+
+    def is_owing(self) -> bool:
+        return self.in_flight > 0
+
+    def count_reading(self) -> int:
+        return 0
+
+    async def close_idle(self) -> None:
+        raise RuntimeError("a fault")
+
+
+@pytest.mark.parametrize(("late", "cut_off"), [(0.1, 0), (30.0, 1)])
+async def test_answer_that_is_ready_at_the_limit_is_still_written(
+    late: float, cut_off: int
+) -> None:
+    # A request gets its final answer at the limit of the stop. The process ended at
+    # that very moment, and the answer was not written. Work that is not answered even
+    # then must not hold the stop up, and is counted; no fault of a step changes that.
+    vm = FakeVm(late)
+    faults: list[str] = []
+    with anyio.fail_after(10.0):
+        ended = await stopping.stop(
+            vm, vm, stopping.Times(0.6, 0.05), lambda name, _: faults.append(name)
+        )
+    assert ended.cut_off == cut_off
+    assert faults[:3] == ["tell opinions", "tell leaving", "close idle"]
+
+
+async def test_log_says_what_a_stop_found_and_what_it_cut_off(
+    tmp_path: pathlib.Path,
+) -> None:
+    # A target hangs for longer than the stop may last. Whoever is on call reads in the
+    # log how many requests the stop began with and how many it cut off; the line said
+    # none, since the requests were counted once they had been cut.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=20_000)])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 15.0
+        path = tmp_path / "settings.json"
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        text = path.read_text()
+        path.write_text(text.replace('"stop_limit_s": 6.0', '"stop_limit_s": 1.2'))
+        vm.daemon.reload()
+        async with await connect(vm) as whole, await connect(vm) as begun:
+            await whole.send(REQUEST.replace(b": 4000", b": 15000"))
+            await edge_site.wait_until(lambda: bool(site.targets["t1"].ran))
+            await begun.send(REQUEST[:-2])
+            await anyio.sleep(0.2)
+            vm.daemon.stop()
+            await edge_site.wait_until(lambda: bool(list_events(vm, "stopped")), 10.0)
+        [began] = list_events(vm, "stopping")
+        assert (began["in_flight"], began["reading"]) == (1, 1)
+        [ended] = list_events(vm, "stopped")
+        assert (ended["cut_off"], ended["cut_reading"]) == (1, 1)
+
+
+async def test_second_signals_do_not_shorten_a_stop(tmp_path: pathlib.Path) -> None:
+    # While a VM is stopping, it is told to stop again, and new settings with a shorter
+    # limit come into force. What it has read is answered within the limit that it had.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=8000)])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 2.5
+        path = tmp_path / "settings.json"
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        async with await connect(vm) as stream:
+            await stream.send(REQUEST)
+            await edge_site.wait_until(lambda: bool(site.targets["t1"].ran))
+            vm.daemon.stop()
+            await edge_site.wait_until(lambda: bool(list_events(vm, "stopping")))
+            text = path.read_text()
+            path.write_text(text.replace('"stop_limit_s": 6.0', '"stop_limit_s": 1.0'))
+            vm.daemon.reload()
+            vm.daemon.stop()
+            assert (await receive_answer(stream)).startswith(b"HTTP/1.1 200 ")
+        assert {one["outcome"] for one in list_events(vm, "reload")} == {"in force"}
