Live through a SIGHUP that comes during a start

Callers saw: a VM that ended while it started, when its settings were changed just then. Cause: SIGHUP ends a process that has not asked for it yet, and loading takes some tenths of a second. Change: the first thing of the start is to ignore it; the settings are read afterwards and followed without a signal. Ruled out: SIGTERM during a start, which ends the process before it has read any request. Test: the process waits for its settings when SIGHUP comes; it ended with -1 before, and reads and refuses them after.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -7,7 +7,6 @@
 import dataclasses
 import itertools
 import random
-import signal
 import time
 import traceback
 
@@ -427,22 +426,3 @@
     async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
         """Return the answer."""
         return self._answer()
-
-
-async def run_until_signal(daemon: EdgeDaemon) -> None:
-    """Run a daemon until SIGTERM or SIGINT asks it to stop."""
-    async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, daemon)
-        await daemon.run()
-        group.cancel_scope.cancel()
-
-
-async def _watch_signals(daemon: EdgeDaemon) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                daemon.reload()
-            else:
-                daemon.stop()
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import collections.abc
+import contextlib
 import dataclasses
+import os
 import pathlib
+import signal
+import sys
 import typing
 
 import anyio
@@ -13,7 +17,7 @@
 import pytest
 
 from zinniastand_core.deployment import configuration
-from zinniastand_platform import encoding
+from zinniastand_platform import encoding, words
 from zinniastand_proxy.edge import (
     desk,
     knowledge_keeper,
@@ -27,6 +31,8 @@
 
 Break = collections.abc.Callable[[edge_site.Vm], None]
 
+LAUNCH = pathlib.Path(words.__file__).parent.parent / "launch.py"
+
 RUN_KEEPER = knowledge_keeper.KnowledgeKeeper.run
 
 REQUEST = (
@@ -258,3 +264,38 @@
             vm.daemon.stop()
             assert (await receive_answer(stream)).startswith(b"HTTP/1.1 200 ")
         assert {one["outcome"] for one in list_events(vm, "reload")} == {"in force"}
+
+
+async def test_sighup_during_a_start_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    # An operator changes the settings while a VM starts, and SIGHUP comes before the
+    # process takes signals in: it ended. Here it waits for its settings, which come
+    # through a pipe; it must live to read them and refuse them for what they are.
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    environment = {**os.environ, "ZINNIASTAND_NODE_FILE": str(path)}
+    process = await anyio.open_process([sys.executable, str(LAUNCH)], env=environment)
+    async with process:
+        try:
+            with anyio.fail_after(30.0):
+                await write_settings_after(path, process)
+                assert await process.wait() == 2
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+
+async def write_settings_after(path: pathlib.Path, process: anyio.abc.Process) -> None:
+    """Wait until the process reads its settings, send SIGHUP, and give it some."""
+    while True:
+        try:
+            descriptor = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            break
+        except OSError:
+            await anyio.sleep(0.02)  # Nobody has opened the pipe for reading yet.
+    process.send_signal(signal.SIGHUP)
+    await anyio.sleep(0.1)
+    with contextlib.suppress(BrokenPipeError):
+        os.write(descriptor, b"{}")
+    os.close(descriptor)
