Split talking with other VMs and pages off the edge's root

Callers saw: with a datagram whose handling met a fault, the VM heard nothing for half a second, asks and decisions about targets among it; before tasks were supervised, all requests of the VM were cut off. Cause: the fault ended the task that receives, with what was waiting behind it.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import collections.abc
 import contextlib
 import dataclasses
-import itertools
 import random
 import time
 import traceback
@@ -19,14 +17,15 @@
 from .. import metrics
 from . import (
     configuration_exchange,
-    datagrams,
     desk,
     edge_settings,
+    fleet_talk,
     forwarder,
     http_server,
     knowledge_keeper,
     log_lines,
     members,
+    pages,
     peer_link,
     placement,
     ports,
@@ -40,25 +39,6 @@
 """Seconds between two looks at the time by the dispatchers: lost slots, slow targets
 and waits that end are noticed that late."""
 
-OPINIONS_PAUSE = 0.25
-"""Seconds between two tellings of what a dispatcher thinks: the next one in rank starts
-with knowledge that old."""
-
-TELL_ALL_EACH = 4
-"""Tellings of which one goes to all VMs. A VM that is cut off from the others places
-its requests by itself; it then knows what was failing a second before. Targets fail for
-some ten seconds."""
-
-MOST_TOLD = 40
-"""VMs that are told at most, so that what a fleet tells grows with its size and not
-with the square of it. The others begin with what is usual."""
-
-SUCCESSORS = 2
-"""VMs that are told what a dispatcher thinks."""
-
-GREET_PAUSE = 1.0
-"""Seconds between greetings of VMs that gave no answer."""
-
 IDLE_PAUSE = 1.0
 """Seconds between two closings of idle connections."""
 
@@ -121,6 +101,7 @@
     def begin_stop(self, answer_by: float) -> None:
         """Refuse readiness, and give each request its answer by a time."""
         self._is_stopping = True
+        self._talk.is_leaving = True
         self._callers.is_stopping = True
         self._log.write(
             "stopping",
@@ -186,13 +167,12 @@
         self._log.flush()
 
     def _log_stopped(self) -> None:
-        ended = self._ended
-        if ended is not None:
+        if self._ended is not None:
             self._log.write(
                 "stopped",
-                cut_off=ended.cut_off,
-                cut_reading=ended.cut_reading,
-                ms=round(ended.took * MILLISECONDS),
+                cut_off=self._ended.cut_off,
+                cut_reading=self._ended.cut_reading,
+                ms=round(self._ended.took * MILLISECONDS),
             )
 
     async def _serve(self, task_status: anyio.abc.TaskStatus[None]) -> None:
@@ -212,38 +192,63 @@
             await self._stop_wanted.wait()
             settings = self._settings
             times = stopping.Times(settings.stop_limit, settings.unready_after)
-            ended = await stopping.stop(self, self._callers, times, self._note_fault)
-            self._ended = ended
+            self._ended = await stopping.stop(
+                self, self._callers, times, self._note_fault
+            )
             group.cancel_scope.cancel()
 
-    def _list_tasks(
-        self,
-    ) -> list[
-        tuple[str, collections.abc.Callable[[], collections.abc.Awaitable[None]]]
-    ]:
+    def _list_tasks(self) -> list[tuple[str, supervision.Run]]:
         """Return the tasks that run beside the requests, with their names."""
         return [
-            ("receive datagrams", self._receive_datagrams),
+            ("receive datagrams", lambda: self._link.run(self._talk.receive)),
             ("serve configuration", self._serve_configuration),
             ("keep knowledge", self._keeper.run),
             ("wake desk", self._wake_desk),
-            ("tell opinions", self._tell_opinions),
-            ("greet", self._greet),
+            ("tell opinions", self._talk.tell_opinions_regularly),
+            ("greet", self._talk.greet),
             ("close idle", self._close_idle),
             ("write log", self._log.run),
             ("follow settings", self._follow_settings),
         ]
 
-    async def _receive_datagrams(self) -> None:
-        await self._link.run(self._receive)
-
     async def _serve_configuration(self) -> None:
         peers = self._settings.peers
         await configuration_exchange.serve(peers.host, peers.port, self._read_current)
 
     def _build(self) -> None:
+        own = self._build_fleet()
+        knowledge = forwarder.Knowledge(
+            self._configured, routing.Router(self._rng), self._registry
+        )
+        self._keeper = knowledge_keeper.KnowledgeKeeper(
+            self._store,
+            knowledge,
+            self._fleet,
+            self._link,
+            self._log,
+            self._use_targets,
+            self._rng,
+        )
+        hearers = fleet_talk.Hearers(self._desk, self._keeper, self._placement)
+        self._talk = fleet_talk.FleetTalk(
+            self._fleet, self._link, hearers, self._log, self._note_fault
+        )
+        self._client = target_client.TargetClient(self._words)
+        tools = forwarder.Tools(
+            knowledge,
+            self._placement,
+            self._client,
+            self._words,
+            self._log,
+            self.metrics,
+        )
+        self._build_servers(
+            forwarder.Forwarder(tools, own.vm, own.data_centre, own.incarnation)
+        )
+
+    def _build_fleet(self) -> ports.Member:
+        """Build what this VM shares with others; return its own record."""
         settings, log = self._settings, self._log
-        now = anyio.current_time()
         peers = settings.peers
         self._link = peer_link.PeerLink(peers.host, peers.port, log)
         own = ports.Member(
@@ -253,39 +258,23 @@
             self._link.port,
             int(time.time() * MILLISECONDS),
         )
-        self._fleet = members.Members(own, now)
+        self._fleet = members.Members(own, anyio.current_time())
         self._configured = configuration.ConfigurationState()
         self._registry = targets.Registry()
-        knowledge = forwarder.Knowledge(
-            self._configured, routing.Router(self._rng), self._registry
-        )
         self._desk = desk.Desk(
             self._fleet, self._registry, settings.retries, self._rng, self._deliver
         )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_desk(self._desk)
-        self._client = target_client.TargetClient(self._words)
-        self._keeper = knowledge_keeper.KnowledgeKeeper(
-            self._store,
-            knowledge,
-            self._fleet,
-            self._link,
-            log,
-            self._use_targets,
-            self._rng,
-        )
-        tools = forwarder.Tools(
-            knowledge, self._placement, self._client, self._words, log, self.metrics
-        )
-        handler = forwarder.Forwarder(
-            tools, settings.vm, settings.data_centre, own.incarnation
-        )
+        return own
+
+    def _build_servers(self, handler: http_server.Handler) -> None:
         self._callers = http_server.Server(handler, self._read_limits, self._note_error)
         self._readiness = http_server.Server(
-            _Page(self._answer_readiness), configuration.Limits, self._note_error
+            pages.Page(self._answer_readiness), configuration.Limits, self._note_error
         )
         self._exporter = http_server.Server(
-            _Page(self._answer_metrics), configuration.Limits, self._note_error
+            pages.Page(self._answer_metrics), configuration.Limits, self._note_error
         )
 
     def _read_current(self) -> configuration.Configuration | None:
@@ -330,47 +319,13 @@
         elif member is not None:
             self._link.send(decision, member)
 
-    def _receive(self, message: datagrams.Message) -> None:
-        now = anyio.current_time()
-        match message:
-            case datagrams.Hello():
-                self._take_hello(message, now)
-            case datagrams.Leaving():
-                self._fleet.remove(message.vm)
-            case datagrams.News():
-                if self._fleet.is_direct(message.vm, message.is_relayed):
-                    self._fleet.note_heard(message.vm, now)
-                self._keeper.take_news(message)
-            case datagrams.VersionNotice():
-                self._keeper.take_version(message.vm, message.version)
-            case datagrams.Opinions():
-                self._desk.take_opinions(message, now)
-            case datagrams.Asked():
-                self._fleet.note_heard(message.vm, now)
-                self._desk.ask(message.vm, message.ask, now)
-            case datagrams.Adopted():
-                self._desk.adopt(message.vm, message.held, now)
-            case messages.Report():
-                self._desk.report(message, now)
-            case messages.Grant() | messages.Refuse() | messages.Wait():
-                self._placement.take_decision(message)
-
-    def _take_hello(self, hello: datagrams.Hello, now: float) -> None:
-        if self._fleet.add(hello.member):
-            self._log.write("vm_joined", peer=hello.member.vm)
-        self._fleet.note_heard(hello.member.vm, now)
-        if hello.wants_answer and not self._is_stopping:
-            reply = datagrams.Hello(self._fleet.own, wants_answer=False)
-            self._link.send(reply, hello.member)
-
     def tell_opinions(self) -> None:
         """Tell the others what this VM thinks of targets."""
-        self._tell_opinions_now(to_all=True)
+        self._talk.tell_opinions(to_all=True)
 
     def tell_leaving(self) -> None:
         """Tell the others that this VM leaves."""
-        leaving = datagrams.Leaving(self._fleet.own.vm)
-        self._link.send_many(leaving, self._fleet.list_others())
+        self._talk.tell_leaving()
 
     async def _wake_desk(self) -> None:
         while True:
@@ -380,31 +335,6 @@
                 self._desk.update_targets(now)
             self._desk.wake(now)
 
-    async def _tell_opinions(self) -> None:
-        for number in itertools.count():
-            await anyio.sleep(OPINIONS_PAUSE)
-            self._tell_opinions_now(to_all=number % TELL_ALL_EACH == 0)
-
-    def _tell_opinions_now(self, to_all: bool) -> None:
-        now = anyio.current_time()
-        own = self._fleet.own.vm
-        for shard in self._desk.list_busy():
-            heard = self._fleet.rank_heard(shard.task, now, shard.data_centre)
-            ranked = [vm for vm in heard if vm != own]
-            told = ranked[: MOST_TOLD if to_all else SUCCESSORS]
-            successors = [self._fleet.find(vm) for vm in told]
-            self._link.send_many(
-                self._desk.summarize(shard, now),
-                [member for member in successors if member is not None],
-            )
-
-    async def _greet(self) -> None:
-        while True:
-            await anyio.sleep(GREET_PAUSE)
-            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
-            silent = self._fleet.list_suspects(anyio.current_time())
-            self._link.send_many(hello, silent)
-
     async def _follow_settings(self) -> None:
         while True:
             await anyio.sleep(SETTINGS_PAUSE)
@@ -415,14 +345,3 @@
         while True:
             await anyio.sleep(IDLE_PAUSE)
             await self._client.close_idle(anyio.current_time())
-
-
-class _Page:
-    """A handler with one answer."""
-
-    def __init__(self, answer: collections.abc.Callable[[], http_server.Reply]) -> None:
-        self._answer = answer
-
-    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
-        """Return the answer."""
-        return self._answer()
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -0,0 +1,160 @@
+"""What one VM tells the others by itself, and where it takes what they tell."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import anyio
+
+from zinniastand_core.dispatch import messages
+
+from . import (
+    datagrams,
+    desk,
+    knowledge_keeper,
+    log_lines,
+    members,
+    peer_link,
+    placement,
+    supervision,
+)
+
+OPINIONS_PAUSE = 0.25
+"""Seconds between two tellings of what a dispatcher thinks: the next one in rank starts
+with knowledge that old."""
+
+TELL_ALL_EACH = 4
+"""Tellings of which one goes to all VMs. A VM that is cut off from the others places
+its requests by itself; it then knows what was failing a second before. Targets fail for
+some ten seconds."""
+
+MOST_TOLD = 40
+"""VMs that are told at most, so that what a fleet tells grows with its size and not
+with the square of it. The others begin with what is usual."""
+
+SUCCESSORS = 2
+"""VMs that are told what a dispatcher thinks."""
+
+GREET_PAUSE = 1.0
+"""Seconds between greetings of VMs that gave no answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hearers:
+    """Who takes in what other VMs say."""
+
+    desk: desk.Desk
+    """The dispatchers here."""
+
+    keeper: knowledge_keeper.KnowledgeKeeper
+    """Configuration and targets."""
+
+    placement: placement.Placement
+    """Requests that wait for a target."""
+
+
+class FleetTalk:
+    """Talks with the other VMs.
+
+    Parameters
+    ----------
+    fleet : members.Members
+        The VMs.
+    link : peer_link.PeerLink
+        Datagrams to them.
+    hearers : Hearers
+        Who takes in what they say.
+    log : log_lines.LogLines
+        VMs that join.
+    note_fault : supervision.NoteFault
+        Takes a fault met by a datagram.
+    """
+
+    def __init__(
+        self,
+        fleet: members.Members,
+        link: peer_link.PeerLink,
+        hearers: Hearers,
+        log: log_lines.LogLines,
+        note_fault: supervision.NoteFault,
+    ) -> None:
+        self._fleet = fleet
+        self._link = link
+        self._hearers = hearers
+        self._log = log
+        self._note_fault = note_fault
+        self.is_leaving = False
+
+    def receive(self, message: datagrams.Message) -> None:
+        """Take in one message; a fault that it leads to leaves the next ones alone."""
+        try:
+            self._take(message)
+        except Exception as error:
+            self._note_fault("take datagram", error)
+
+    def _take(self, message: datagrams.Message) -> None:
+        now = anyio.current_time()
+        match message:
+            case datagrams.Hello():
+                self._take_hello(message, now)
+            case datagrams.Leaving():
+                self._fleet.remove(message.vm)
+            case datagrams.News():
+                if self._fleet.is_direct(message.vm, message.is_relayed):
+                    self._fleet.note_heard(message.vm, now)
+                self._hearers.keeper.take_news(message)
+            case datagrams.VersionNotice():
+                self._hearers.keeper.take_version(message.vm, message.version)
+            case datagrams.Opinions():
+                self._hearers.desk.take_opinions(message, now)
+            case datagrams.Asked():
+                self._fleet.note_heard(message.vm, now)
+                self._hearers.desk.ask(message.vm, message.ask, now)
+            case datagrams.Adopted():
+                self._hearers.desk.adopt(message.vm, message.held, now)
+            case messages.Report():
+                self._hearers.desk.report(message, now)
+            case messages.Grant() | messages.Refuse() | messages.Wait():
+                self._hearers.placement.take_decision(message)
+
+    def _take_hello(self, hello: datagrams.Hello, now: float) -> None:
+        if self._fleet.add(hello.member):
+            self._log.write("vm_joined", peer=hello.member.vm)
+        self._fleet.note_heard(hello.member.vm, now)
+        if hello.wants_answer and not self.is_leaving:
+            reply = datagrams.Hello(self._fleet.own, wants_answer=False)
+            self._link.send(reply, hello.member)
+
+    async def tell_opinions_regularly(self) -> None:
+        """Tell opinions until cancelled."""
+        for number in itertools.count():
+            await anyio.sleep(OPINIONS_PAUSE)
+            self.tell_opinions(to_all=number % TELL_ALL_EACH == 0)
+
+    def tell_opinions(self, to_all: bool) -> None:
+        """Tell those next in rank, or all, what the dispatchers here think."""
+        now = anyio.current_time()
+        own = self._fleet.own.vm
+        for shard in self._hearers.desk.list_busy():
+            heard = self._fleet.rank_heard(shard.task, now, shard.data_centre)
+            ranked = [vm for vm in heard if vm != own]
+            told = ranked[: MOST_TOLD if to_all else SUCCESSORS]
+            successors = [self._fleet.find(vm) for vm in told]
+            self._link.send_many(
+                self._hearers.desk.summarize(shard, now),
+                [member for member in successors if member is not None],
+            )
+
+    async def greet(self) -> None:
+        """Greet VMs that gave no answer, until cancelled."""
+        while True:
+            await anyio.sleep(GREET_PAUSE)
+            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
+            silent = self._fleet.list_suspects(anyio.current_time())
+            self._link.send_many(hello, silent)
+
+    def tell_leaving(self) -> None:
+        """Tell all others that this VM leaves."""
+        leaving = datagrams.Leaving(self._fleet.own.vm)
+        self._link.send_many(leaving, self._fleet.list_others())
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/supervision.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/supervision.py
@@ -14,13 +14,15 @@
 """Seconds before a task that ended is started again: short beside the seconds after
 which others miss what it does; a fault that lasts must not take the processor."""
 
+Run = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
 NoteFault = collections.abc.Callable[[str, BaseException], None]
 """Takes the name of a task and its error."""
 
 
 async def keep_running(
     name: str,
-    run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    run: Run,
     note_fault: NoteFault,
 ) -> None:
     """Run a task until cancelled, and start it again after each fault."""
@@ -44,7 +46,7 @@
 
 async def attempt_async(
     name: str,
-    act: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    act: Run,
     note_fault: NoteFault,
 ) -> None:
     """Do one step that waits; note its fault and go on with what follows."""
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import typing
 
@@ -19,6 +20,7 @@
 from zinniastand_core.deployment import configuration
 from zinniastand_platform import encoding, words
 from zinniastand_proxy.edge import (
+    datagrams,
     desk,
     knowledge_keeper,
     log_lines,
@@ -150,6 +152,32 @@
     raise RuntimeError("a fault")
 
 
+async def test_fault_met_by_a_datagram_leaves_the_next_ones_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # What another VM says meets a fault of the program. All requests under way were cut
+    # off with it. They must be answered, and the next datagram be taken in at once.
+    async with edge_site.run_site() as site:
+        taken: list[str] = []
+
+        def remove(_: members.Members, vm: str) -> None:
+            taken.append(vm)
+            fail()
+
+        def break_it(vm: edge_site.Vm) -> None:
+            monkeypatch.setattr(members.Members, "remove", remove)
+            address = vm.settings.peers
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for name in ("vm-8", "vm-9"):
+                    data = datagrams.encode(datagrams.Leaving(name), 0.0)
+                    sender.sendto(data, (address.host, address.port))
+
+        vm = await answer_despite(site, break_it)
+        await edge_site.wait_until(lambda: taken == ["vm-8", "vm-9"])
+        faults = list_events(vm, "unexpected_error")
+        assert [line["task"] for line in faults] == ["take datagram"] * 2
+
+
 async def test_fault_in_telling_others_does_not_shorten_a_stop(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
