Tell the others also where a VM's address has another type

Callers saw: as for a port that does not exist; a VM that leaves does not tell the VMs behind the one with such a record, which go on asking it for targets. Cause: records of datagrams are not checked for types, and sending raised TypeError. Change: such an address is skipped and counted as unsent.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/peer_link.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/peer_link.py
@@ -73,7 +73,7 @@
         for member in members:
             try:
                 self._socket.sendto(data, (member.host, member.port))
-            except (OSError, OverflowError, ValueError):
+            except (OSError, OverflowError, TypeError, ValueError):
                 # No room, no route, nobody there, or an address that is none: all the
                 # same to the sender, who asks again or does without. One VM with such
                 # an address must not keep the others from hearing.
--- a/tests/edge/test_peer_link.py
+++ b/tests/edge/test_peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import typing
 
 import anyio
 import pytest
@@ -19,12 +20,18 @@
     return peer_link.PeerLink(HOST, 0, log_lines.LogLines("vm-1", writer))
 
 
-async def test_address_that_is_none_keeps_no_other_from_hearing() -> None:
-    # The record of one VM has a port that does not exist. Sending to it raised, so that
-    # those behind it in the list were not told, of a VM that leaves for instance.
+@pytest.mark.parametrize(
+    ("host", "port"), [(HOST, 70_000), ("x..y", 9), (7, 9), (HOST, "9")]
+)
+async def test_address_that_is_none_keeps_no_other_from_hearing(
+    host: typing.Any, port: typing.Any
+) -> None:
+    # The record of one VM, as another sent it, has an address that is none. Sending to
+    # it raised, so that those behind it in the list were not told, of a VM that leaves
+    # for instance.
     link, other = make_link(), make_link()
     heard: list[datagrams.Message] = []
-    broken = ports.Member("vm-3", "a", HOST, 70_000, 1)
+    broken = ports.Member("vm-3", "a", host, port, 1)
     sound = ports.Member("vm-2", "a", HOST, other.port, 1)
     link.send_many(datagrams.Leaving("vm-1"), [broken, sound])
     async with anyio.create_task_group() as group:
