--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import collections.abc
+import contextlib
 import dataclasses
-import itertools
 import random
-import signal
 import time
 import traceback
 
@@ -19,17 +17,20 @@
 from .. import metrics
 from . import (
     configuration_exchange,
-    datagrams,
     desk,
     edge_settings,
+    fleet_talk,
     forwarder,
     http_server,
     knowledge_keeper,
     log_lines,
     members,
+    pages,
     peer_link,
     placement,
     ports,
+    stopping,
+    supervision,
     target_client,
     vocabulary,
 )
@@ -38,34 +39,9 @@
 """Seconds between two looks at the time by the dispatchers: lost slots, slow targets
 and waits that end are noticed that late."""
 
-OPINIONS_PAUSE = 0.25
-"""Seconds between two tellings of what a dispatcher thinks: the next one in rank starts
-with knowledge that old."""
-
-TELL_ALL_EACH = 4
-"""Tellings of which one goes to all VMs. A VM that is cut off from the others places
-its requests by itself; it then knows what was failing a second before. Targets fail for
-some ten seconds."""
-
-MOST_TOLD = 40
-"""VMs that are told at most, so that what a fleet tells grows with its size and not
-with the square of it. The others begin with what is usual."""
-
-SUCCESSORS = 2
-"""VMs that are told what a dispatcher thinks."""
-
-GREET_PAUSE = 1.0
-"""Seconds between greetings of VMs that gave no answer."""
-
 IDLE_PAUSE = 1.0
 """Seconds between two closings of idle connections."""
 
-STOP_MARGIN = 0.4
-"""Seconds before the limit of a stop at which the process ends by itself."""
-
-STOP_POLL = 0.02
-"""Seconds between two looks for requests in flight while stopping."""
-
 MOST_TRACE = 2_000
 """Characters of a traceback that go into the log: its end names the place."""
 
@@ -75,8 +51,8 @@
 CHANGEABLE = frozenset({"retries", "stop_limit", "unready_after"})
 """Settings that a running process can change."""
 
-INCARNATION_SCALE = 1000
-"""Incarnations are milliseconds of unix time."""
+MILLISECONDS = 1000
+"""In a second. Incarnations are milliseconds of unix time."""
 
 
 class EdgeDaemon:
@@ -115,12 +91,25 @@
         self._rng = rng
         self._is_stopping = False
         self._stop_wanted = anyio.Event()
+        self._ended: stopping.Ended | None = None
         self.metrics = metrics.Metrics()
 
     def stop(self) -> None:
         """Begin a graceful stop."""
         self._stop_wanted.set()
 
+    def begin_stop(self, answer_by: float) -> None:
+        """Refuse readiness, and give each request its answer by a time."""
+        self._is_stopping = True
+        self._talk.is_leaving = True
+        self._callers.is_stopping = True
+        self._log.write(
+            "stopping",
+            in_flight=self._callers.in_flight,
+            reading=self._callers.count_reading(),
+            limit_ms=round((answer_by - anyio.current_time()) * MILLISECONDS),
+        )
+
     def kill(self) -> None:
         """End at once, without a word to anybody; for tests of failures."""
         self._scope.cancel()
@@ -140,6 +129,9 @@
         the listeners and of the record that other VMs know, and wait for the next
         start. Settings with findings are refused whole: the former ones stay in force.
         """
+        supervision.attempt("reload", self._take_settings, self._note_fault)
+
+    def _take_settings(self) -> None:
         if self._settings_file is None:
             return
         loaded = self._settings_file.load()
@@ -163,40 +155,100 @@
     ) -> None:
         """Run until stopped; started once the listeners are up."""
         self._build()
-        settings = self._settings
         self._log.write("started", incarnation=self._fleet.own.incarnation)
+        with contextlib.closing(self._link):
+            await self._serve(task_status)
+        for name, close in (
+            ("close targets", self._client.close),
+            ("close store", self._store.close),
+        ):
+            await supervision.attempt_async(name, close, self._note_fault)
+        self._log_stopped()
+        self._log.flush()
+
+    def _log_stopped(self) -> None:
+        if self._ended is not None:
+            self._log.write(
+                "stopped",
+                cut_off=self._ended.cut_off,
+                cut_reading=self._ended.cut_reading,
+                ms=round(self._ended.took * MILLISECONDS),
+            )
+
+    async def _serve(self, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run the listeners and the tasks beside them until stopped."""
+        settings = self._settings
         async with anyio.create_task_group() as group:
             self._scope = group.cancel_scope
-            peers = settings.peers
-            group.start_soon(self._link.run, self._receive)
-            group.start_soon(
-                configuration_exchange.serve, peers.host, peers.port, self._read_current
-            )
             for server, address in (
                 (self._callers, settings.callers),
                 (self._readiness, settings.readiness),
                 (self._exporter, settings.metrics),
             ):
                 await group.start(server.serve, address.host, address.port)
-            group.start_soon(self._keeper.run)
-            group.start_soon(self._wake_desk)
-            group.start_soon(self._tell_opinions)
-            group.start_soon(self._greet)
-            group.start_soon(self._close_idle)
-            group.start_soon(self._log.run)
-            group.start_soon(self._follow_settings)
+            for name, task in self._list_tasks():
+                group.start_soon(supervision.keep_running, name, task, self._note_fault)
             task_status.started()
             await self._stop_wanted.wait()
-            await self._stop()
+            settings = self._settings
+            times = stopping.Times(settings.stop_limit, settings.unready_after)
+            self._ended = await stopping.stop(
+                self, self._callers, times, self._note_fault
+            )
             group.cancel_scope.cancel()
-        await self._client.close()
-        await self._store.close()
-        self._log.write("stopped", cut_off=self._callers.in_flight)
-        self._log.flush()
+
+    def _list_tasks(self) -> list[tuple[str, supervision.Run]]:
+        """Return the tasks that run beside the requests, with their names."""
+        return [
+            ("receive datagrams", lambda: self._link.run(self._talk.receive)),
+            ("serve configuration", self._serve_configuration),
+            ("keep knowledge", self._keeper.run),
+            ("wake desk", self._wake_desk),
+            ("tell opinions", self._talk.tell_opinions_regularly),
+            ("greet", self._talk.greet),
+            ("close idle", self._close_idle),
+            ("write log", self._log.run),
+            ("follow settings", self._follow_settings),
+        ]
+
+    async def _serve_configuration(self) -> None:
+        peers = self._settings.peers
+        await configuration_exchange.serve(peers.host, peers.port, self._read_current)
 
     def _build(self) -> None:
+        own = self._build_fleet()
+        knowledge = forwarder.Knowledge(
+            self._configured, routing.Router(self._rng), self._registry
+        )
+        self._keeper = knowledge_keeper.KnowledgeKeeper(
+            self._store,
+            knowledge,
+            self._fleet,
+            self._link,
+            self._log,
+            self._use_targets,
+            self._rng,
+        )
+        hearers = fleet_talk.Hearers(self._desk, self._keeper, self._placement)
+        self._talk = fleet_talk.FleetTalk(
+            self._fleet, self._link, hearers, self._log, self._note_fault
+        )
+        self._client = target_client.TargetClient(self._words)
+        tools = forwarder.Tools(
+            knowledge,
+            self._placement,
+            self._client,
+            self._words,
+            self._log,
+            self.metrics,
+        )
+        self._build_servers(
+            forwarder.Forwarder(tools, own.vm, own.data_centre, own.incarnation)
+        )
+
+    def _build_fleet(self) -> ports.Member:
+        """Build what this VM shares with others; return its own record."""
         settings, log = self._settings, self._log
-        now = anyio.current_time()
         peers = settings.peers
         self._link = peer_link.PeerLink(peers.host, peers.port, log)
         own = ports.Member(
@@ -204,41 +256,25 @@
             settings.data_centre,
             peers.host,
             self._link.port,
-            int(time.time() * INCARNATION_SCALE),
+            int(time.time() * MILLISECONDS),
         )
-        self._fleet = members.Members(own, now)
+        self._fleet = members.Members(own, anyio.current_time())
         self._configured = configuration.ConfigurationState()
         self._registry = targets.Registry()
-        knowledge = forwarder.Knowledge(
-            self._configured, routing.Router(self._rng), self._registry
-        )
         self._desk = desk.Desk(
             self._fleet, self._registry, settings.retries, self._rng, self._deliver
         )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_desk(self._desk)
-        self._client = target_client.TargetClient(self._words)
-        self._keeper = knowledge_keeper.KnowledgeKeeper(
-            self._store,
-            knowledge,
-            self._fleet,
-            self._link,
-            log,
-            self._use_targets,
-            self._rng,
-        )
-        tools = forwarder.Tools(
-            knowledge, self._placement, self._client, self._words, log, self.metrics
-        )
-        handler = forwarder.Forwarder(
-            tools, settings.vm, settings.data_centre, own.incarnation
-        )
+        return own
+
+    def _build_servers(self, handler: http_server.Handler) -> None:
         self._callers = http_server.Server(handler, self._read_limits, self._note_error)
         self._readiness = http_server.Server(
-            _Page(self._answer_readiness), configuration.Limits, self._note_error
+            pages.Page(self._answer_readiness), configuration.Limits, self._note_error
         )
         self._exporter = http_server.Server(
-            _Page(self._answer_metrics), configuration.Limits, self._note_error
+            pages.Page(self._answer_metrics), configuration.Limits, self._note_error
         )
 
     def _read_current(self) -> configuration.Configuration | None:
@@ -249,8 +285,11 @@
         return current.limits if current is not None else configuration.Limits()
 
     def _note_error(self, error: BaseException) -> None:
+        self._note_fault("serve", error)
+
+    def _note_fault(self, task: str, error: BaseException) -> None:
         text = "".join(traceback.format_exception(error))
-        self._log.write("unexpected_error", trace=text[-MOST_TRACE:])
+        self._log.write("unexpected_error", task=task, trace=text[-MOST_TRACE:])
 
     def _answer_readiness(self) -> http_server.Reply:
         is_ready = self._keeper.is_complete and not self._is_stopping
@@ -280,38 +319,13 @@
         elif member is not None:
             self._link.send(decision, member)
 
-    def _receive(self, message: datagrams.Message) -> None:
-        now = anyio.current_time()
-        match message:
-            case datagrams.Hello():
-                self._take_hello(message, now)
-            case datagrams.Leaving():
-                self._fleet.remove(message.vm)
-            case datagrams.News():
-                if self._fleet.is_direct(message.vm, message.is_relayed):
-                    self._fleet.note_heard(message.vm, now)
-                self._keeper.take_news(message)
-            case datagrams.VersionNotice():
-                self._keeper.take_version(message.vm, message.version)
-            case datagrams.Opinions():
-                self._desk.take_opinions(message, now)
-            case datagrams.Asked():
-                self._fleet.note_heard(message.vm, now)
-                self._desk.ask(message.vm, message.ask, now)
-            case datagrams.Adopted():
-                self._desk.adopt(message.vm, message.held, now)
-            case messages.Report():
-                self._desk.report(message, now)
-            case messages.Grant() | messages.Refuse() | messages.Wait():
-                self._placement.take_decision(message)
-
-    def _take_hello(self, hello: datagrams.Hello, now: float) -> None:
-        if self._fleet.add(hello.member):
-            self._log.write("vm_joined", peer=hello.member.vm)
-        self._fleet.note_heard(hello.member.vm, now)
-        if hello.wants_answer and not self._is_stopping:
-            reply = datagrams.Hello(self._fleet.own, wants_answer=False)
-            self._link.send(reply, hello.member)
+    def tell_opinions(self) -> None:
+        """Tell the others what this VM thinks of targets."""
+        self._talk.tell_opinions(to_all=True)
+
+    def tell_leaving(self) -> None:
+        """Tell the others that this VM leaves."""
+        self._talk.tell_leaving()
 
     async def _wake_desk(self) -> None:
         while True:
@@ -321,31 +335,6 @@
                 self._desk.update_targets(now)
             self._desk.wake(now)
 
-    async def _tell_opinions(self) -> None:
-        for number in itertools.count():
-            await anyio.sleep(OPINIONS_PAUSE)
-            self._tell_opinions_now(to_all=number % TELL_ALL_EACH == 0)
-
-    def _tell_opinions_now(self, to_all: bool) -> None:
-        now = anyio.current_time()
-        own = self._fleet.own.vm
-        for shard in self._desk.list_busy():
-            heard = self._fleet.rank_heard(shard.task, now, shard.data_centre)
-            ranked = [vm for vm in heard if vm != own]
-            told = ranked[: MOST_TOLD if to_all else SUCCESSORS]
-            successors = [self._fleet.find(vm) for vm in told]
-            self._link.send_many(
-                self._desk.summarize(shard, now),
-                [member for member in successors if member is not None],
-            )
-
-    async def _greet(self) -> None:
-        while True:
-            await anyio.sleep(GREET_PAUSE)
-            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
-            silent = self._fleet.list_suspects(anyio.current_time())
-            self._link.send_many(hello, silent)
-
     async def _follow_settings(self) -> None:
         while True:
             await anyio.sleep(SETTINGS_PAUSE)
@@ -356,53 +345,3 @@
         while True:
             await anyio.sleep(IDLE_PAUSE)
             await self._client.close_idle(anyio.current_time())
-
-    async def _stop(self) -> None:
-        """Stop in the order that cuts nobody off.
-
-        The balancer goes on sending until it has noticed that readiness is gone, and
-        those requests are served. Only then do idle connections close, and the
-        process ends when nothing is under way or the limit is near.
-        """
-        limit = anyio.current_time() + self._settings.stop_limit - STOP_MARGIN
-        self._is_stopping = True
-        self._callers.is_stopping = True
-        self._log.write("stopping", in_flight=self._callers.in_flight)
-        self._tell_opinions_now(to_all=True)
-        self._link.send_many(
-            datagrams.Leaving(self._fleet.own.vm), self._fleet.list_others()
-        )
-        await anyio.sleep(self._settings.unready_after)
-        await self._callers.close_idle()
-        while self._callers.in_flight and anyio.current_time() < limit:
-            await anyio.sleep(STOP_POLL)
-
-
-class _Page:
-    """A handler with one answer."""
-
-    def __init__(self, answer: collections.abc.Callable[[], http_server.Reply]) -> None:
-        self._answer = answer
-
-    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
-        """Return the answer."""
-        return self._answer()
-
-
-async def run_until_signal(daemon: EdgeDaemon) -> None:
-    """Run a daemon until SIGTERM or SIGINT asks it to stop."""
-    async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, daemon)
-        await daemon.run()
-        group.cancel_scope.cancel()
-
-
-async def _watch_signals(daemon: EdgeDaemon) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                daemon.reload()
-            else:
-                daemon.stop()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import dataclasses
+import json
 import typing
 
 import anyio
@@ -17,15 +18,20 @@
 
 from zinniastand_core.deployment import configuration
 
-from . import http_exchange
+from . import accepting, http_exchange
 
 BACKLOG = 1024
 """Connections that may wait to be accepted. When the queue is full the opening packet
 is dropped and comes again only after seconds."""
 
-LINGER = 0.05
-"""Seconds between the last answer on a connection and its close, so that a caller that
-sends on reads the answer before it sees a reset."""
+LINGER = 0.5
+"""Most seconds between the last answer on a connection and its close, so that a caller
+that sends on reads the answer before it sees a reset. Most close at once; a busy one
+takes some tenths, and a stop waits for as long."""
+
+LAST_LOOK = 0.02
+"""Seconds for which an idle connection is read once more before it closes: what has
+arrived by then is read in a few turns of the loop."""
 
 FIELD_BYTES = 4
 """Bytes of a header field beside its name and value: a colon, a space, an end."""
@@ -40,6 +46,24 @@
 """Seconds after which a caller may come back whose body found no room: the time in
 which most requests are answered."""
 
+FAULT_STATUS = 502
+"""Status of an answer to a request whose handling met a fault of the program. The work
+may have run, so that nothing may be promised."""
+
+FAULT_BODY = json.dumps({"status": FAULT_STATUS, "reason": "internal-error"}).encode()
+"""Body of such an answer (RFC 9457)."""
+
+FAULT_ANSWER = (
+    b"HTTP/1.1 %d \r\ncontent-type: application/problem+json\r\n"
+    b"content-length: %d\r\nconnection: close\r\n\r\n%b"
+    % (FAULT_STATUS, len(FAULT_BODY), FAULT_BODY)
+)
+"""The same as it stands on a connection. The engine writes nothing more once it has
+refused an answer, so that this goes out beside it and the connection closes."""
+
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses whose answers have no body; the engine refuses one."""
+
 MOST_CONNECTIONS = 2_500
 """Connections of callers at a time. Each takes a descriptor, and so does each attempt
 at a target; together they stay below the descriptors of the smallest VMs."""
@@ -128,10 +152,11 @@
     ) -> None:
         self._handler = handler
         self._read_limits = read_limits
-        self._note_error = note_error
+        self.note_error = note_error
         self._idle: set[_Connection] = set()
         self._open = 0
         self.in_flight = 0
+        self.lingering = 0
         self.held_bytes = 0
         self.is_stopping = False
 
@@ -149,12 +174,29 @@
         async with listener:
             raw = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started(raw)
-            await listener.serve(self._serve_connection)
+            await accepting.accept_all(
+                listener, self._serve_connection, self.note_error
+            )
 
     async def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
+        """Close the connections on which no request is under way or about to be read.
+
+        They end by themselves, LAST_LOOK later at most.
+        """
         for connection in list(self._idle):
-            await anyio.aclose_forcefully(connection.stream)
+            connection.end_idle()
+
+    def is_owing(self) -> bool:
+        """Return whether a request is being read, answered, or its answer read off."""
+        return self._open > len(self._idle)
+
+    def count_open(self) -> int:
+        """Return how many connections there are."""
+        return self._open
+
+    def count_reading(self) -> int:
+        """Return on how many connections a request has begun and is not whole yet."""
+        return self._open - len(self._idle) - self.in_flight - self.lingering
 
     def note_idle(self, connection: _Connection, is_idle: bool) -> None:
         """Take in whether a connection waits for a request."""
@@ -176,7 +218,7 @@
         except Exception as error:
             # Without this, a fault met by one request would end the listener and
             # with it every other request of this VM.
-            self._note_error(error)
+            self.note_error(error)
         finally:
             self._open -= 1
             self._idle.discard(connection)
@@ -216,6 +258,12 @@
         self._limits = limits
         self._first_byte_at: float | None = None
         self._held_bytes = 0
+        self._idle_scope: anyio.CancelScope | None = None
+
+    def end_idle(self) -> None:
+        """Wait no longer for a request."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
@@ -232,7 +280,7 @@
             except _BadRequestError as error:
                 reply = Reply(error.status, error.headers, b"")
                 await self._send(reply, must_close=True)
-                await anyio.sleep(LINGER)
+                await self._linger()
                 return
             if incoming is None:
                 return
@@ -242,23 +290,60 @@
             finally:
                 self._server.in_flight -= 1
                 self._release_body()
-            if not is_open or self._engine.our_state is not h11.DONE:
-                return
-            if self._engine.their_state is not h11.DONE:
+            if not (is_open and self._may_go_on()):
+                await self._linger()
                 return
             self._engine.start_next_cycle()
 
+    def _may_go_on(self) -> bool:
+        """Return whether both sides are done with an exchange and keep going."""
+        return (
+            self._engine.our_state is h11.DONE and self._engine.their_state is h11.DONE
+        )
+
+    async def _linger(self) -> None:
+        """Say that nothing more comes, and read off what the caller still sends.
+
+        Bytes left unread at the close would make the kernel reset the connection, and
+        the caller could lose the answer. What is read here is never handed on.
+        """
+        self._server.lingering += 1
+        try:
+            await self.stream.send_eof()
+            with anyio.move_on_after(LINGER):
+                while True:
+                    await self.stream.receive()
+        except anyio.EndOfStream:
+            return  # The caller has read to the end, and closed its side.
+        finally:
+            self._server.lingering -= 1
+
     async def _answer(self, incoming: Incoming) -> bool:
         """Answer one request; return whether the connection goes on."""
         reply: Reply | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch, incoming.caller)
-            reply = await self._handler.handle(incoming)
+            reply = await self._handle(incoming)
             group.cancel_scope.cancel()
-        if reply is None or incoming.caller.has_left:
+        if reply is None:
             return False
-        await self._send(reply, must_close=self._server.is_stopping)
-        return True
+        # A caller that has left may have closed its sending side only.
+        must_close = self._server.is_stopping or incoming.caller.has_left
+        await self._send(reply, must_close, incoming.request.method)
+        return not incoming.caller.has_left
+
+    async def _handle(self, incoming: Incoming) -> Reply:
+        """Return the handler's answer, or one that admits a fault.
+
+        A connection that closes instead leaves the caller to guess, and a fault of one
+        request would break the promise to answer what was read.
+        """
+        try:
+            return await self._handler.handle(incoming)
+        except Exception as error:
+            self._server.note_error(error)
+            headers = [(b"content-type", b"application/problem+json")]
+            return Reply(FAULT_STATUS, headers, FAULT_BODY)
 
     async def _watch(self, caller: Caller) -> None:
         """Read ahead while a request is under way, to notice that the caller left."""
@@ -319,18 +404,30 @@
     async def _receive_head(self) -> bool:
         """Read more of a head; return False where the connection ends before one."""
         if self._first_byte_at is None:
-            self._server.note_idle(self, is_idle=True)
-            with anyio.move_on_after(self._limits.idle_timeout):
-                is_open = await self._receive()
-                self._server.note_idle(self, is_idle=False)
-                self._first_byte_at = anyio.current_time()
-                return is_open
-            return False
+            is_open = await self._wait_for_request()
+            self._first_byte_at = anyio.current_time()
+            return is_open
         left = self._first_byte_at + self._limits.head_timeout - anyio.current_time()
         with anyio.move_on_after(left):
             return await self._receive()
         raise _BadRequestError(408)
 
+    async def _wait_for_request(self) -> bool:
+        """Return whether a request begins before the connection is idle for too long.
+
+        The last look is for a request that arrived just then: it is there to be read,
+        and its caller would see it cut off.
+        """
+        self._server.note_idle(self, is_idle=True)
+        try:
+            with anyio.move_on_after(self._limits.idle_timeout) as self._idle_scope:
+                return await self._receive()
+        finally:
+            self._server.note_idle(self, is_idle=False)
+        with anyio.move_on_after(LAST_LOOK):
+            return await self._receive()
+        return False
+
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -383,18 +480,28 @@
         except h11.RemoteProtocolError as error:
             raise _BadRequestError(error.error_status_hint) from error
 
-    async def _send(self, reply: Reply, must_close: bool) -> None:
-        headers = list(reply.headers)
-        headers.append((b"content-length", str(len(reply.body)).encode()))
+    async def _send(self, reply: Reply, must_close: bool, method: bytes = b"") -> None:
+        try:
+            data = self._encode(reply, must_close, method)
+        except h11.LocalProtocolError as error:
+            # The work is done; without an answer its caller could only guess.
+            self._server.note_error(error)
+            data = FAULT_ANSWER
+        with anyio.fail_after(self._limits.idle_timeout):
+            await self.stream.send(data)
+
+    def _encode(self, reply: Reply, must_close: bool, method: bytes) -> bytes:
+        is_bodiless = reply.status in BODILESS_STATUSES
+        body = b"" if is_bodiless or method == b"HEAD" else reply.body
+        size = 0 if is_bodiless else len(reply.body)
+        headers = [*reply.headers, (b"content-length", str(size).encode())]
         if must_close:
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=reply.status, headers=headers)
         data = self._engine.send(head) or b""
-        if reply.body:
-            data += self._engine.send(h11.Data(data=reply.body)) or b""
-        data += self._engine.send(h11.EndOfMessage()) or b""
-        with anyio.fail_after(self._limits.idle_timeout):
-            await self.stream.send(data)
+        if body:
+            data += self._engine.send(h11.Data(data=body)) or b""
+        return data + (self._engine.send(h11.EndOfMessage()) or b"")
 
 
 def _measure_head(head: h11.Request) -> int:
--- /dev/null
+++ b/tests/edge/test_stopping.py
@@ -0,0 +1,329 @@
+"""A planned stop gives each request that was read, or is being read, its answer."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+import typing
+
+import anyio
+import anyio.abc
+import edge_site
+import pytest
+
+from zinniastand_core.deployment import configuration
+from zinniastand_platform import encoding, words
+from zinniastand_proxy.edge import (
+    datagrams,
+    desk,
+    knowledge_keeper,
+    log_lines,
+    members,
+    stopping,
+    target_client,
+)
+
+pytestmark = pytest.mark.anyio
+
+Break = collections.abc.Callable[[edge_site.Vm], None]
+
+LAUNCH = pathlib.Path(words.__file__).parent.parent / "launch.py"
+
+RUN_KEEPER = knowledge_keeper.KnowledgeKeeper.run
+
+REQUEST = (
+    b"POST /x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id-1\r\n"
+    b"X-Deadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello"
+)
+
+
+async def start_vm(site: edge_site.Site) -> edge_site.Vm:
+    site.publish([edge_site.make_route(timeout_ms=8000)])
+    await site.start_target(edge_site.Target("t1"))
+    vm = await site.start_vm("vm-1")
+    await edge_site.wait_ready(vm)
+    return vm
+
+
+def allow_slow_callers(vm: edge_site.Vm) -> None:
+    """Let callers take long over a request, so that a busy machine does not matter."""
+    routes = [edge_site.make_route(timeout_ms=8000)]
+    current = edge_site.store.decoding.decode_configuration(
+        encoding.encode_configuration(1_000_000, routes)
+    )
+    limits = configuration.Limits(head_timeout=20.0, idle_timeout=20.0)
+    vm.daemon.use_configuration(dataclasses.replace(current, limits=limits))
+
+
+async def connect(vm: edge_site.Vm) -> anyio.abc.SocketStream:
+    address = vm.settings.callers
+    return await anyio.connect_tcp(address.host, address.port)
+
+
+def list_events(vm: edge_site.Vm, event: str) -> list[dict[str, object]]:
+    return [line for line in vm.read_log() if line["event"] == event]
+
+
+async def receive_answer(stream: anyio.abc.SocketStream) -> bytes:
+    with anyio.fail_after(8.0):
+        return await stream.receive()
+
+
+@pytest.mark.parametrize("sent", [30, len(REQUEST) - 2], ids=["head", "body"])
+async def test_request_that_is_being_read_at_a_stop_is_answered(sent: int) -> None:
+    # A caller has sent half of a request when the VM is stopped, and sends the rest
+    # later, as over a slow line. No whole request was in flight, so that the
+    # process ended, and the caller saw a closed connection.
+    async with edge_site.run_site() as site:
+        vm = await start_vm(site)
+        allow_slow_callers(vm)
+        async with await connect(vm) as stream:
+            await stream.send(REQUEST[:sent])
+            await anyio.sleep(0.1)
+            vm.daemon.stop()
+            await anyio.sleep(1.0)
+            await stream.send(REQUEST[sent:])
+            assert (await receive_answer(stream)).startswith(b"HTTP/1.1 200 ")
+
+
+async def answer_despite(site: edge_site.Site, break_it: Break) -> edge_site.Vm:
+    """Break something while a request is under way; return once it is answered."""
+    vm = await start_vm(site)
+    site.targets["t1"].delay = 1.5
+    async with await connect(vm) as stream:
+        await stream.send(REQUEST)
+        await edge_site.wait_until(lambda: site.targets["t1"].ran == ["id-1"])
+        break_it(vm)
+        answer = await receive_answer(stream)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    return vm
+
+
+def fail(*_: object, **__: object) -> typing.NoReturn:
+    raise RuntimeError("a fault")
+
+
+@pytest.mark.parametrize(
+    ("owner", "function", "task"),
+    [
+        (desk.Desk, "wake", "wake desk"),
+        (desk.Desk, "list_busy", "tell opinions"),
+        (members.Members, "list_suspects", "greet"),
+        (target_client.TargetClient, "close_idle", "close idle"),
+        (log_lines.LogLines, "flush", "write log"),
+        (knowledge_keeper.KnowledgeKeeper, "run", "keep knowledge"),
+    ],
+)
+async def test_fault_in_a_background_task_cuts_no_request(
+    monkeypatch: pytest.MonkeyPatch, owner: type, function: str, task: str
+) -> None:
+    # A task beside the requests meets a fault of the program. All requests under way
+    # were cut off with it, and the process ended. They must be answered, the fault be
+    # noted with the name of its task, and the task go on once the fault has passed.
+    if function == "run":
+        monkeypatch.setattr(owner, function, fail_later)
+    async with edge_site.run_site() as site:
+
+        def break_it(_: edge_site.Vm) -> None:
+            if function != "run":
+                monkeypatch.setattr(owner, function, fail)
+
+        vm = await answer_despite(site, break_it)
+        if function != "run":
+            monkeypatch.undo()
+        await edge_site.wait_until(
+            lambda: (
+                task in {line["task"] for line in list_events(vm, "unexpected_error")}
+            )
+        )
+        assert (await edge_site.call(vm, time_left=4000)).status_code == 200
+
+
+async def fail_later(keeper: knowledge_keeper.KnowledgeKeeper) -> None:
+    """Keep the knowledge for long enough to become ready; then fail."""
+    with anyio.move_on_after(1.0):
+        await RUN_KEEPER(keeper)
+    raise RuntimeError("a fault")
+
+
+async def test_fault_met_by_a_datagram_leaves_the_next_ones_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # What another VM says meets a fault of the program. All requests under way were cut
+    # off with it. They must be answered, and the next datagram be taken in at once.
+    async with edge_site.run_site() as site:
+        taken: list[str] = []
+
+        def remove(_: members.Members, vm: str) -> None:
+            taken.append(vm)
+            fail()
+
+        def break_it(vm: edge_site.Vm) -> None:
+            monkeypatch.setattr(members.Members, "remove", remove)
+            address = vm.settings.peers
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for name in ("vm-8", "vm-9"):
+                    data = datagrams.encode(datagrams.Leaving(name), 0.0)
+                    sender.sendto(data, (address.host, address.port))
+
+        vm = await answer_despite(site, break_it)
+        await edge_site.wait_until(lambda: taken == ["vm-8", "vm-9"])
+        faults = list_events(vm, "unexpected_error")
+        assert [line["task"] for line in faults] == ["take datagram"] * 2
+
+
+async def test_fault_in_telling_others_does_not_shorten_a_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A VM is stopped, and telling the others that it leaves meets a fault. The stop
+    # ended there, and with it the requests under way.
+    async with edge_site.run_site() as site:
+
+        def break_it(vm: edge_site.Vm) -> None:
+            monkeypatch.setattr(members.Members, "list_others", fail)
+            vm.daemon.stop()
+
+        vm = await answer_despite(site, break_it)
+        await edge_site.wait_until(lambda: bool(list_events(vm, "stopped")))
+        faults = list_events(vm, "unexpected_error")
+        assert "tell leaving" in {line["task"] for line in faults}
+
+
+class FakeVm:
+    """A VM whose one request has its answer, and writes it, `late` after the limit."""
+
+    def __init__(self, late: float) -> None:
+        self.late = late
+        self.answer_by = 0.0
+
+    def begin_stop(self, answer_by: float) -> None:
+        self.answer_by = answer_by
+
+    def tell_opinions(self) -> None:
+        raise RuntimeError("a fault")
+
+    def tell_leaving(self) -> None:
+        raise RuntimeError("a fault")
+
+    @property
+    def in_flight(self) -> int:
+        return int(anyio.current_time() < self.answer_by + self.late)
+
+    def is_owing(self) -> bool:
+        return self.in_flight > 0
+
+    def count_reading(self) -> int:
+        return 0
+
+    async def close_idle(self) -> None:
+        raise RuntimeError("a fault")
+
+
+@pytest.mark.parametrize(("late", "cut_off"), [(0.1, 0), (30.0, 1)])
+async def test_answer_that_is_ready_at_the_limit_is_still_written(
+    late: float, cut_off: int
+) -> None:
+    # A request gets its final answer at the limit of the stop. The process ended at
+    # that very moment, and the answer was not written. Work that is not answered even
+    # then must not hold the stop up, and is counted; no fault of a step changes that.
+    vm = FakeVm(late)
+    faults: list[str] = []
+    with anyio.fail_after(10.0):
+        ended = await stopping.stop(
+            vm, vm, stopping.Times(0.6, 0.05), lambda name, _: faults.append(name)
+        )
+    assert ended.cut_off == cut_off
+    assert faults[:3] == ["tell opinions", "tell leaving", "close idle"]
+
+
+async def test_log_says_what_a_stop_found_and_what_it_cut_off(
+    tmp_path: pathlib.Path,
+) -> None:
+    # A target hangs for longer than the stop may last. Whoever is on call reads in the
+    # log how many requests the stop began with and how many it cut off; the line said
+    # none, since the requests were counted once they had been cut.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=20_000)])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 15.0
+        path = tmp_path / "settings.json"
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        text = path.read_text()
+        path.write_text(text.replace('"stop_limit_s": 6.0', '"stop_limit_s": 1.2'))
+        vm.daemon.reload()
+        async with await connect(vm) as whole, await connect(vm) as begun:
+            await whole.send(REQUEST.replace(b": 4000", b": 15000"))
+            await edge_site.wait_until(lambda: bool(site.targets["t1"].ran))
+            await begun.send(REQUEST[:-2])
+            await anyio.sleep(0.2)
+            vm.daemon.stop()
+            await edge_site.wait_until(lambda: bool(list_events(vm, "stopped")), 10.0)
+        [began] = list_events(vm, "stopping")
+        assert (began["in_flight"], began["reading"]) == (1, 1)
+        [ended] = list_events(vm, "stopped")
+        assert (ended["cut_off"], ended["cut_reading"]) == (1, 1)
+
+
+async def test_second_signals_do_not_shorten_a_stop(tmp_path: pathlib.Path) -> None:
+    # While a VM is stopping, it is told to stop again, and new settings with a shorter
+    # limit come into force. What it has read is answered within the limit that it had.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=8000)])
+        await site.start_target(edge_site.Target("t1"))
+        site.targets["t1"].delay = 2.5
+        path = tmp_path / "settings.json"
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        async with await connect(vm) as stream:
+            await stream.send(REQUEST)
+            await edge_site.wait_until(lambda: bool(site.targets["t1"].ran))
+            vm.daemon.stop()
+            await edge_site.wait_until(lambda: bool(list_events(vm, "stopping")))
+            text = path.read_text()
+            path.write_text(text.replace('"stop_limit_s": 6.0', '"stop_limit_s": 1.0'))
+            vm.daemon.reload()
+            vm.daemon.stop()
+            assert (await receive_answer(stream)).startswith(b"HTTP/1.1 200 ")
+        assert {one["outcome"] for one in list_events(vm, "reload")} == {"in force"}
+
+
+async def test_sighup_during_a_start_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    # An operator changes the settings while a VM starts, and SIGHUP comes before the
+    # process takes signals in: it ended. Here it waits for its settings, which come
+    # through a pipe; it must live to read them and refuse them for what they are.
+    path = tmp_path / "settings.json"
+    os.mkfifo(path)
+    environment = {**os.environ, "ZINNIASTAND_NODE_FILE": str(path)}
+    process = await anyio.open_process([sys.executable, str(LAUNCH)], env=environment)
+    async with process:
+        try:
+            with anyio.fail_after(30.0):
+                await write_settings_after(path, process)
+                assert await process.wait() == 2
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+
+async def write_settings_after(path: pathlib.Path, process: anyio.abc.Process) -> None:
+    """Wait until the process reads its settings, send SIGHUP, and give it some."""
+    while True:
+        try:
+            descriptor = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            break
+        except OSError:
+            await anyio.sleep(0.02)  # Nobody has opened the pipe for reading yet.
+    process.send_signal(signal.SIGHUP)
+    await anyio.sleep(0.1)
+    with contextlib.suppress(BrokenPipeError):
+        os.write(descriptor, b"{}")
+    os.close(descriptor)
