Answer requests before the process ends at the limit of its stop

What callers saw: a closed connection for work that was still under way at the limit of a planned stop. Change: the stop tells the forwarder by when to answer; the answers are written before the process ends. Test first: 'Server disconnected without sending a response' for both kinds of work; after: 504 'stopping', and the log says that nothing was cut off.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -103,6 +103,7 @@
         self._is_stopping = True
         self._talk.is_leaving = True
         self._callers.is_stopping = True
+        self._forwarder.end_by(answer_by)
         self._log.write(
             "stopping",
             in_flight=self._callers.in_flight,
@@ -242,9 +243,10 @@
             self._log,
             self.metrics,
         )
-        self._build_servers(
-            forwarder.Forwarder(tools, own.vm, own.data_centre, own.incarnation)
+        self._forwarder = forwarder.Forwarder(
+            tools, own.vm, own.data_centre, own.incarnation
         )
+        self._build_servers(self._forwarder)
 
     def _build_fleet(self) -> ports.Member:
         """Build what this VM shares with others; return its own record."""
@@ -301,6 +303,8 @@
             ("zinniastand_datagrams_sent_total", self._link.sent),
             ("zinniastand_datagram_bytes_sent_total", self._link.sent_bytes),
             ("zinniastand_target_connections_opened_total", self._client.opened),
+            ("zinniastand_target_answers_foreign_total", self._client.foreign),
+            ("zinniastand_target_answers_unnamed_total", self._client.unnamed),
             ("zinniastand_configuration_version", self._configured.version),
             ("zinniastand_log_lines_dropped", self._log.dropped),
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -80,8 +80,8 @@
         "cut",
         (
             Change(
-                f"{EDGE}/edge_daemon.py",
-                "while self._callers.in_flight and anyio.current_time() < limit:",
+                f"{EDGE}/stopping.py",
+                "while served.is_owing() and anyio.current_time() < end:",
                 "while False:",
             ),
         ),
--- a/tests/edge/test_giving_up.py
+++ b/tests/edge/test_giving_up.py
@@ -75,3 +75,33 @@
         assert answers[0].status_code == 200
         assert answers[0].content.startswith(b"t1")
         assert first.cancelled == []
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_request_gets_a_final_answer_before_its_vm_ends(kind: str) -> None:
+    # A VM stops while a target hangs, and the request's own limit lies beyond the end
+    # of the process. Its caller saw the connection close, as if nobody had read it.
+    async with edge_site.run_site() as site:
+        site.stop_limit = 1.5
+        site.publish([edge_site.make_route(kind=kind, timeout_ms=60_000)])
+        hanging = edge_site.Target("t1")
+        hanging.delay = 60.0
+        await site.start_target(hanging)
+        vm = await site.start_vm("vm-1")
+        await edge_site.wait_ready(vm)
+        answers: list[httpx.Response] = []
+
+        async def send() -> None:
+            answers.append(await edge_site.call(vm, time_left=60_000))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await edge_site.wait_until(lambda: hanging.ran == ["id-1"])
+            vm.daemon.stop()
+        assert answers[0].status_code == 504
+        assert answers[0].json()["reason"] == "stopping"
+        await edge_site.wait_until(
+            lambda: any(one["event"] == "stopped" for one in vm.read_log())
+        )
+        [line] = [one for one in vm.read_log() if one["event"] == "stopped"]
+        assert line["cut_off"] == 0
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -95,6 +95,7 @@
         self.targets: dict[str, Target] = {}
         self.vms: list[Vm] = []
         self.version = 0
+        self.stop_limit = 6.0
 
     async def start_store(self) -> None:
         """Serve the store."""
@@ -171,7 +172,7 @@
             metrics=address(),
             peers=address(),
             store=edge_settings.Address(HOST, self.store_port),
-            stop_limit=6.0,
+            stop_limit=self.stop_limit,
             unready_after=0.3,
             retries=desk.RetryBudget(0.2, 50.0, 10.0),
         )
