Answer the asks of a VM that is leaving

What callers saw: at a VM that was stopping each request waited 0.18 s for its slot, and work that failed was not tried again (502 'retry-budget' for 200). This is the wait of 187 ms before the 502 of the report, and why its second step failed: the others forget a leaving VM's address at once, so that no dispatcher can answer it; after 30 and 60 ms each of two counts as dead, and alone the VM has less than one retry to give.

Ruled out: a queue at a living dispatcher (it answers at once that a request waits).

Change: leaving ends only what a VM does for all; its address is kept for 60 s, and it no longer greets. It asks the next in rank instead of itself. The test that a leaving VM is forgotten is replaced by four: it does nothing for all and can be answered, is forgotten later, takes tasks when it starts again, and leaves its own to others.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -121,7 +121,8 @@
 
     def find_dispatcher(self, service: str) -> str:
         """Return the VM that this one asks first for targets of a service."""
-        return self._fleet.rank(service, anyio.current_time(), 1)[0]
+        ranked = self._fleet.rank(service, anyio.current_time(), 1)
+        return ranked[0] if ranked else self._fleet.own.vm
 
     def reload(self) -> None:
         """Read the settings anew and use what can change in a running process.
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -99,7 +99,7 @@
             case datagrams.Hello():
                 self._take_hello(message, now)
             case datagrams.Leaving():
-                self._fleet.remove(message.vm)
+                self._fleet.note_leaving(message.vm, now)
             case datagrams.News():
                 if self._fleet.is_direct(message.vm, message.is_relayed):
                     self._fleet.note_heard(message.vm, now)
@@ -150,11 +150,14 @@
         """Greet VMs that gave no answer, until cancelled."""
         while True:
             await anyio.sleep(GREET_PAUSE)
-            hello = datagrams.Hello(self._fleet.own, wants_answer=True)
-            silent = self._fleet.list_suspects(anyio.current_time())
-            self._link.send_many(hello, silent)
+            now = anyio.current_time()
+            self._fleet.forget_gone(now)
+            if not self.is_leaving:
+                hello = datagrams.Hello(self._fleet.own, wants_answer=True)
+                self._link.send_many(hello, self._fleet.list_suspects(now))
 
     def tell_leaving(self) -> None:
-        """Tell all others that this VM leaves."""
+        """Tell all others that this VM leaves, and leave its tasks to them."""
+        self._fleet.note_leaving(self._fleet.own.vm, anyio.current_time())
         leaving = datagrams.Leaving(self._fleet.own.vm)
         self._link.send_many(leaving, self._fleet.list_others())
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -26,6 +26,10 @@
 is asked every second meanwhile, so a live one comes back at once."""
 
 
+LEAVING_FOR = 60.0
+"""Seconds for which the address of a leaving VM is kept: longer than any stop lasts."""
+
+
 class Members:
     """All VMs known to this one.
 
@@ -43,6 +47,7 @@
         self._known: dict[str, ports.Member] = {own.vm: own}
         self._heard_since: dict[str, float] = {own.vm: now}
         self._suspect_until: dict[str, float] = {}
+        self._leaving_until: dict[str, float] = {}
         self._ranks: dict[tuple[str, str], list[str]] = {}
 
     def add(self, member: ports.Member) -> bool:
@@ -55,6 +60,7 @@
         self._known[member.vm] = member
         self._heard_since.pop(member.vm, None)
         self._suspect_until.pop(member.vm, None)
+        self._leaving_until.pop(member.vm, None)
         self._ranks.clear()
         return True
 
@@ -74,12 +80,24 @@
         self._suspect_until[vm] = now + SUSPECT_FOR
         return is_news
 
-    def remove(self, vm: str) -> None:
-        """Take in that a VM is leaving."""
-        if vm != self.own.vm and self._known.pop(vm, None) is not None:
-            self._heard_since.pop(vm, None)
-            self._suspect_until.pop(vm, None)
-            self._ranks.clear()
+    def note_leaving(self, vm: str, now: float) -> None:
+        """Take in that a VM, or this one, is leaving: it does nothing for all any more.
+
+        Its address is kept. It serves its callers for some seconds, and dispatchers
+        that could not answer its asks would each seem dead to it.
+        """
+        if vm in self._known:
+            self._leaving_until[vm] = now + LEAVING_FOR
+
+    def forget_gone(self, now: float) -> None:
+        """Forget VMs that left long ago and have not come back."""
+        for vm, until in list(self._leaving_until.items()):
+            if until <= now and vm != self.own.vm:
+                del self._leaving_until[vm]
+                del self._known[vm]
+                self._heard_since.pop(vm, None)
+                self._suspect_until.pop(vm, None)
+                self._ranks.clear()
 
     def count(self) -> int:
         """Return how many VMs are known, this one included."""
@@ -94,12 +112,18 @@
         return [one for one in self._known.values() if one.vm != self.own.vm]
 
     def list_suspects(self, now: float) -> list[ports.Member]:
-        """Return the VMs that gave no answer, and those never heard from."""
+        """Return the VMs that gave no answer, and those never heard from.
+
+        Those that are leaving need not be asked whether they are back.
+        """
         return [
             one
             for one in self.list_others()
-            if self._suspect_until.get(one.vm, 0.0) > now
-            or one.vm not in self._heard_since
+            if one.vm not in self._leaving_until
+            and (
+                self._suspect_until.get(one.vm, 0.0) > now
+                or one.vm not in self._heard_since
+            )
         ]
 
     def rank_heard(self, task: str, now: float, data_centre: str = "") -> list[str]:
@@ -175,4 +199,8 @@
         return order
 
     def _is_heard(self, vm: str, now: float) -> bool:
-        return vm in self._heard_since and self._suspect_until.get(vm, 0.0) <= now
+        return (
+            vm in self._heard_since
+            and vm not in self._leaving_until
+            and self._suspect_until.get(vm, 0.0) <= now
+        )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/news_teller.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/news_teller.py
@@ -123,6 +123,8 @@
         relays: list[ports.Member] = []
         for place in self._fleet.data_centres - {self._own_place}:
             ranked = self._fleet.rank(RELAY_TASK, now, RELAYS, place)
+            if not ranked:
+                continue  # All that are known are leaving or silent.
             member = self._fleet.find(ranked[self._tellings % len(ranked)])
             if member is not None and member.data_centre == place:
                 relays.append(member)
--- a/tests/edge/test_members.py
+++ b/tests/edge/test_members.py
@@ -76,12 +76,45 @@
     assert "a" not in fleet.rank("desk", SETTLED, 4)
 
 
-def test_leaving_vm_is_forgotten_and_own_entry_stays() -> None:
+def test_leaving_vm_does_nothing_for_all_and_can_be_answered() -> None:
+    # A VM says that it leaves, and serves its callers for some seconds. The others
+    # forgot its address and could not answer its asks: it took one dispatcher after the
+    # other for dead, 0.09 s each, and its second attempts were refused by itself.
+    fleet = make_fleet("a", "b")
+    fleet.note_leaving("a", SETTLED)
+    assert "a" not in fleet.rank("desk", SETTLED, 4)
+    assert "a" not in fleet.rank_heard("desk", SETTLED)
+    fleet.note_heard("a", SETTLED)
+    assert "a" not in fleet.rank("desk", SETTLED, 4)
+    assert fleet.find("a") is not None
+    assert fleet.list_suspects(SETTLED) == []
+
+
+def test_vm_that_left_is_forgotten_some_time_after() -> None:
     fleet = make_fleet("a")
-    fleet.remove("a")
-    fleet.remove("own")
-    assert fleet.rank("desk", SETTLED, 4) == ["own"]
+    fleet.note_leaving("a", SETTLED)
+    fleet.forget_gone(SETTLED + 1)
+    assert fleet.find("a") is not None
+    fleet.forget_gone(SETTLED + members.LEAVING_FOR)
     assert fleet.find("a") is None
+
+
+def test_vm_that_left_and_starts_again_takes_tasks() -> None:
+    fleet = make_fleet("a")
+    fleet.note_leaving("a", SETTLED)
+    assert fleet.add(make_member("a", incarnation=2))
+    fleet.note_heard("a", SETTLED)
+    assert "a" in fleet.rank("desk", 2 * SETTLED, 4)
+    fleet.forget_gone(SETTLED + members.LEAVING_FOR)
+    assert fleet.find("a") is not None
+
+
+def test_own_entry_stays_and_leaves_tasks_to_others() -> None:
+    fleet = make_fleet("a")
+    fleet.note_leaving("own", SETTLED)
+    assert fleet.rank("desk", SETTLED, 4) == ["a"]
+    fleet.forget_gone(SETTLED + members.LEAVING_FOR)
+    assert fleet.find("own") is not None
     other = dataclasses.replace(make_member("own"), incarnation=9)
     assert not fleet.add(other)
 
