--- /dev/null
+++ b/tests/edge/test_stop_corners.py
@@ -0,0 +1,384 @@
+"""Corners of stops, leaving VMs and requests with several attempts."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import socket
+
+import anyio
+import edge_site
+import pytest
+import scripted_run
+import trio.testing
+
+from zinniastand_core import rendezvous, services
+from zinniastand_core.deployment import configuration, targets
+from zinniastand_core.dispatch import messages
+from zinniastand_core.forwarding import plan
+from zinniastand_proxy.edge import (
+    edge_settings,
+    http_exchange,
+    http_server,
+    members,
+    ports,
+    request_run,
+    stopping,
+    target_client,
+)
+
+pytestmark = pytest.mark.anyio
+
+WORK = 0.5
+
+
+@pytest.mark.parametrize("is_through_leaving", [False, True], ids=["other", "leaving"])
+async def test_request_that_waits_at_a_leaving_dispatcher_gets_the_next_slot(
+    is_through_leaving: bool,
+) -> None:
+    # A target has one slot. One request holds it, a second one waits for it at the
+    # dispatcher, which is then stopped. A third request asks the next dispatcher, and
+    # tells it of the slot in use. From then on the slot's end is told to that one only:
+    # the leaving dispatcher takes the slot for used, and the second request waits on
+    # while the target is idle.
+    async with edge_site.run_site() as site:
+        make_settings = site.make_settings
+
+        def make_usual_settings(name: str) -> edge_settings.Settings:
+            return dataclasses.replace(make_settings(name), unready_after=2.5)
+
+        site.make_settings = make_usual_settings  # type: ignore[method-assign]
+        site.publish([edge_site.make_route(timeout_ms=8000, target_latency_ms=4000)])
+        target = edge_site.Target("t1")
+        target.slots = 1
+        await site.start_target(target)
+        vms = [await site.start_vm(f"vm-{number}") for number in range(1, 5)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(2.5)
+        first = vms[0].daemon.find_dispatcher("desk")
+        leaving = next(vm for vm in vms if vm.settings.vm == first)
+        other = next(vm for vm in vms if vm.settings.vm != first)
+        through = leaving if is_through_leaving else other
+        target.delay = WORK
+        ended: dict[str, tuple[int, float]] = {}
+        began = anyio.current_time()
+
+        async def call(name: str) -> None:
+            answer = await edge_site.call(through, request_id=name, time_left=8000)
+            ended[name] = (answer.status_code, anyio.current_time() - began)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call, "first")
+            await anyio.sleep(0.1)
+            group.start_soon(call, "second")
+            await anyio.sleep(0.1)
+            leaving.daemon.stop()
+            await anyio.sleep(0.15)
+            group.start_soon(call, "third")
+        statuses = {status for status, _ in ended.values()}
+        assert statuses == {200}, ended
+        # Three pieces of work at one slot, one after the other.
+        assert max(at for _, at in ended.values()) < 3 * WORK + 0.5, ended
+
+
+class Answers:
+    """Answers every request with 200."""
+
+    async def handle(self, incoming: http_server.Incoming) -> http_server.Reply:
+        """Return the answer."""
+        return http_server.Reply(200, [], b"fine")
+
+
+class Leaver:
+    """Stops nothing else."""
+
+    def begin_stop(self, answer_by: float) -> None:
+        """Do nothing."""
+
+    def tell_opinions(self) -> None:
+        """Do nothing."""
+
+    def tell_leaving(self) -> None:
+        """Do nothing."""
+
+
+class SendsAtTheClose:
+    """A side of callers one of whom sends a request as idle connections close."""
+
+    def __init__(self, server: http_server.Server, send: object) -> None:
+        self._server = server
+        self._send = send
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return self._server.in_flight
+
+    def is_owing(self) -> bool:
+        """Return whether anything is owed."""
+        return self._server.is_owing()
+
+    def count_reading(self) -> int:
+        """Return how many requests are being read."""
+        return self._server.count_reading()
+
+    async def close_idle(self) -> None:
+        """Let the request come, and close idle connections."""
+        if self._send is not None:
+            self._send()  # type: ignore[operator]
+            self._send = None
+        await self._server.close_idle()
+
+
+async def test_request_that_comes_as_idle_connections_close_is_answered() -> None:
+    # Idle connections are read once more before they close, for a request that arrived
+    # just then. A stop that finds all connections idle does not wait for that: they
+    # still count as idle when it looks, so that it ends at once and cuts them all off.
+    server = http_server.Server(
+        Answers(), configuration.Limits, edge_site.fail_on_error
+    )
+    async with anyio.create_task_group() as callers:
+        async with anyio.create_task_group() as group:
+            port = await group.start(server.serve, edge_site.HOST, 0)
+            raw = socket.create_connection((edge_site.HOST, port))
+            await anyio.sleep(0.05)
+            assert server.count_open() == 1
+            request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            got: list[bytes] = []
+
+            async def read() -> None:
+                await anyio.wait_readable(raw)
+                try:
+                    got.append(raw.recv(1000))
+                except OSError as error:
+                    got.append(repr(error).encode())
+
+            callers.start_soon(read)
+            await anyio.sleep(0.05)
+            served = SendsAtTheClose(server, lambda: raw.sendall(request))
+            times = stopping.Times(limit=3.0, unready_after=0.05)
+            await stopping.stop(
+                Leaver(), served, times, lambda _, error: edge_site.fail_on_error(error)
+            )
+            group.cancel_scope.cancel()
+        await edge_site.wait_until(lambda: bool(got))
+    raw.close()
+    assert got[0].startswith(b"HTTP/1.1 200 "), got
+
+
+def make_member(incarnation: int) -> ports.Member:
+    return ports.Member("vm-1", "a", "127.0.0.1", 1, incarnation)
+
+
+def make_fleet() -> members.Members:
+    return members.Members(ports.Member("own", "a", "127.0.0.1", 1, 1), 0.0)
+
+
+def test_vm_that_starts_again_with_its_clock_set_back_is_taken_in() -> None:
+    # Incarnations are wall times. A VM leaves, its clock is set back, it starts again
+    # and greets: the greeting looks older than the VM that left, and is ignored.
+    fleet = make_fleet()
+    fleet.add(make_member(5_000))
+    fleet.note_heard("vm-1", 1.0)
+    fleet.note_leaving("vm-1", 10.0)
+    fleet.add(make_member(4_000))
+    fleet.note_heard("vm-1", 15.0)
+    assert "vm-1" in fleet.rank_heard("task", 20.0)
+
+
+def test_late_word_of_leaving_does_not_concern_the_vm_that_started_since() -> None:
+    # Words of leaving name no incarnation. One that is overtaken by the greeting of the
+    # VM's next start makes that one leave: its greetings no longer help, and after a
+    # minute it is forgotten while it lives.
+    fleet = make_fleet()
+    fleet.add(make_member(1_000))
+    fleet.note_heard("vm-1", 1.0)
+    fleet.add(make_member(2_000))
+    fleet.note_leaving("vm-1", 10.0)
+    fleet.add(make_member(2_000))
+    fleet.note_heard("vm-1", 11.0)
+    fleet.forget_gone(10.0 + members.LEAVING_FOR)
+    assert fleet.find("vm-1") is not None
+    assert "vm-1" in fleet.rank_heard("task", 80.0)
+
+
+async def test_vm_that_starts_while_another_leaves_leaves_its_tasks_to_others() -> None:
+    # A VM that is leaving does not answer greetings, so that a VM that starts meanwhile
+    # is not told. It hears of the other by its asks, takes it for one that stays, and
+    # asks it first where it ranks first.
+    async with edge_site.run_site() as site:
+        make_settings = site.make_settings
+
+        def make_slow_settings(name: str) -> edge_settings.Settings:
+            return dataclasses.replace(make_settings(name), unready_after=5.5)
+
+        site.make_settings = make_slow_settings  # type: ignore[method-assign]
+        site.publish([edge_site.make_route(timeout_ms=3000)])
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{number}") for number in range(1, 3)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(2.2)
+        first = vms[0].daemon.find_dispatcher("desk")
+        leaving = next(vm for vm in vms if vm.settings.vm == first)
+        leaving.daemon.stop()
+        await anyio.sleep(0.1)
+        fresh = await site.start_vm("vm-3")
+        await edge_site.wait_ready(fresh)
+        heard_by = anyio.current_time() + 2 * members.SETTLE_TIME + 0.5
+        while anyio.current_time() < heard_by:
+            await edge_site.call(leaving)
+            await anyio.sleep(0.1)
+        assert fresh.daemon.find_dispatcher("desk") != first
+
+
+async def test_request_that_waits_at_a_former_dispatcher_gets_the_next_slot() -> None:
+    # The same where nobody leaves: a VM that ranks higher joins, and takes over while a
+    # request waits at the dispatcher before it.
+    async with edge_site.run_site() as site:
+        names = [f"vm-{number}" for number in range(1, 5)]
+        first = rendezvous.pick("desk", names, 1)[0]
+        site.publish([edge_site.make_route(timeout_ms=9000, target_latency_ms=8000)])
+        target = edge_site.Target("t1")
+        target.slots = 1
+        await site.start_target(target)
+        vms = [await site.start_vm(name) for name in names if name != first]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(2.2)
+        through = next(
+            vm for vm in vms if vm.settings.vm != vms[0].daemon.find_dispatcher("desk")
+        )
+        joined = await site.start_vm(first)
+        await edge_site.wait_ready(joined)
+        ended: dict[str, tuple[int, float]] = {}
+        began = anyio.current_time()
+
+        async def call(name: str) -> None:
+            answer = await edge_site.call(through, request_id=name, time_left=9000)
+            ended[name] = (answer.status_code, anyio.current_time() - began)
+
+        target.delay = 3.5
+        async with anyio.create_task_group() as group:
+            group.start_soon(call, "first")
+            await anyio.sleep(0.2)
+            target.delay = WORK
+            assert through.daemon.find_dispatcher("desk") != first
+            group.start_soon(call, "second")
+            await edge_site.wait_until(
+                lambda: through.daemon.find_dispatcher("desk") == first
+            )
+            assert not ended
+            group.start_soon(call, "third")
+        assert {status for status, _ in ended.values()} == {200}, ended
+        assert max(at for _, at in ended.values()) < 3.5 + 2 * WORK + 0.5, ended
+
+
+async def test_stop_ends_within_its_limit_whatever_the_balancer_needs() -> None:
+    # The wait for the balancer is not bounded by the limit of the stop. The process
+    # would be killed in the middle of it, and nothing logged.
+    server = http_server.Server(
+        Answers(), configuration.Limits, edge_site.fail_on_error
+    )
+    times = stopping.Times(limit=0.5, unready_after=1.5)
+    ended = await stopping.stop(
+        Leaver(), server, times, lambda _, error: edge_site.fail_on_error(error)
+    )
+    assert ended.took <= times.limit
+
+
+async def test_quick_work_is_served_at_a_stop_whatever_its_objective() -> None:
+    # Work that takes milliseconds comes right after SIGTERM, with 5.6 s left. Its route
+    # allows six seconds, so that it is refused, and so is each other request of the
+    # route until the balancer has noticed.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route(timeout_ms=8000, target_latency_ms=6000)])
+        await site.start_target(edge_site.Target("t1"))
+        vm = await site.start_vm("vm-1")
+        await edge_site.wait_ready(vm)
+        vm.daemon.stop()
+        await anyio.sleep(0.05)
+        assert (await edge_site.call(vm, time_left=8000)).status_code == 200
+
+
+def test_request_whose_caller_left_goes_to_no_further_target() -> None:
+    # The caller leaves while a target has its request, which may run only once and is
+    # not broken off. The target proves that it did not run it; nobody waits any more.
+    scripts = {
+        "t1": scripted_run.Script(plan.Result.TURNED_AWAY, 0.3),
+        "t2": scripted_run.Script(plan.Result.ANSWERED, 0.1),
+    }
+    slots = scripted_run.ScriptedSlots(list(scripts))
+    exchange = scripted_run.ScriptedTargets(scripts)
+
+    async def main() -> None:
+        parts = scripted_run.make_parts(slots, exchange, list(scripts))
+        caller = http_server.Caller()
+        request = http_exchange.Request(b"GET", b"/x", [], b"", False)
+        incoming = http_server.Incoming(request, "h", anyio.current_time(), caller)
+        route = scripted_run.make_route(services.Work.AT_MOST_ONCE, 2)
+        run = request_run.Run(parts, incoming, route, "desk")
+        async with anyio.create_task_group() as group:
+            group.start_soon(run.run)
+            await anyio.sleep(0.1)
+            caller.leave()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    assert slots.names == ["t2"]
+
+
+def test_target_is_not_blamed_for_work_that_a_stop_cuts_off() -> None:
+    # The process ends before the work does, long before its deadline. The dispatcher
+    # is told that the target was silent, which counts as a failure of the target.
+    scripts = {"t1": scripted_run.Script(plan.Result.ANSWERED, 1.5)}
+    seen = scripted_run.play(scripts, services.Work.AT_MOST_ONCE, ends_at=0.3)
+    assert seen.broken_off == ("t1",)
+    assert seen.outcomes == (messages.Outcome.ABANDONED,)
+
+
+class ConnectsSlowly(scripted_run.ScriptedTargets):
+    """Takes long over the connection to the first target."""
+
+    def __init__(self, scripts: dict[str, scripted_run.Script]) -> None:
+        super().__init__(scripts)
+        self.sent_to: list[str] = []
+
+    async def attempt(
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
+        mark_sent: collections.abc.Callable[[], None],
+    ) -> target_client.Attempt:
+        """Play one attempt."""
+        if target.target_id == "t1":
+            await anyio.sleep(0.45)
+        self.sent_to.append(target.target_id)
+        return await super().attempt(target, request, work, mark_sent)
+
+
+def test_overdue_work_goes_to_no_more_targets_than_its_route_allows() -> None:
+    # The first attempt is overdue while it still connects (the process stood still, and
+    # connects once more). The second one is started when nothing has been sent, so that
+    # a third may follow; then the first is sent too. When the second is overdue nobody
+    # asks again whether the route allows another target.
+    scripts = {
+        name: scripted_run.Script(plan.Result.ANSWERED, 1.2)
+        for name in ("t1", "t2", "t3")
+    }
+    slots, exchange = scripted_run.ScriptedSlots(list(scripts)), ConnectsSlowly(scripts)
+
+    async def main() -> None:
+        parts = scripted_run.make_parts(slots, exchange, list(scripts))
+        request = http_exchange.Request(b"GET", b"/x", [], b"", False)
+        incoming = http_server.Incoming(
+            request, "h", anyio.current_time(), http_server.Caller()
+        )
+        route = scripted_run.make_route(services.Work.IDEMPOTENT, 2)
+        await request_run.Run(parts, incoming, route, "desk").run()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    assert len(exchange.sent_to) <= 2, exchange.sent_to
