Follow the dispatcher that is first in rank while an ask waits

What callers saw: 503 after 5.8 s at a stopping VM, or an answer after 3.6 s for 1.6, while the target was idle; the same where a VM that ranks higher joins. Cause: slots in use were handed over to the next dispatcher, and their ends told to that one only; the former one counted them as in use, and kept asks waiting that it held. Change: an ask moves on when its dispatcher is no longer first, and the end of an attempt is told to all who count its slot.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -40,6 +40,17 @@
 Answer = messages.Grant | messages.Refuse
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Granter:
+    """A dispatcher that counts a slot as in use."""
+
+    vm: str
+    """Where it runs."""
+
+    shard: shards.Shard
+    """The shard in which it gave the slot, or took it over."""
+
+
 class _Pending:
     """An ask without its final answer."""
 
@@ -86,7 +97,7 @@
         self._desk: desk.Desk | None = None
         self._pending: dict[str, _Pending] = {}
         self._held: dict[str, messages.Held] = {}
-        self._granters: dict[str, str] = {}
+        self._granters: dict[str, list[_Granter]] = {}
         self._dispatcher_of: dict[shards.Shard, str] = {}
 
     def use_desk(self, own: desk.Desk) -> None:
@@ -115,29 +126,51 @@
 
     async def _acquire_in(self, ask: messages.Ask) -> Answer:
         pending = self._pending[ask.ticket] = _Pending()
-        asked = self._fleet.own.vm
+        silent: set[str] = set()
+        vm = self._choose_dispatcher(ask.shard, silent)
         answer: Answer | None = None
         try:
-            for vm in self._list_candidates(ask.shard):
-                asked = vm
-                answer = await self._ask(vm, ask, pending)
-                if answer is not None:
-                    return self._take(ask, vm, answer)
-                self._note_silent(vm, ask)
-            asked = self._fleet.own.vm
-            answer = await self._ask(asked, ask, pending)
-            return self._take(ask, asked, answer or _refuse_late(ask))
+            while answer is None and anyio.current_time() < ask.deadline_at:
+                answer = await self._ask(vm, ask, pending, silent)
+                if answer is None:
+                    vm = self._move_on(vm, ask, silent)
+            answer = answer or _refuse_late(ask)
+            return self._take(ask, vm, answer)
         finally:
             del self._pending[ask.ticket]
             if answer is None:
-                self._withdraw(asked, ask)
+                self._withdraw(vm, ask)
+
+    def _move_on(self, vm: str, ask: messages.Ask, silent: set[str]) -> str:
+        """Leave a dispatcher without an answer; return the one to ask next."""
+        self._withdraw(vm, ask)
+        if vm == self._choose_dispatcher(ask.shard, silent):
+            silent.add(vm)
+            if self._fleet.suspect(vm, anyio.current_time()):
+                self._log.write("dispatcher_lost", peer=vm, shard=ask.shard.task)
+        return self._choose_dispatcher(ask.shard, silent)
+
+    def _choose_dispatcher(self, shard: shards.Shard, silent: set[str]) -> str:
+        """Return the VM to ask: the first in rank, this one after some silent ones."""
+        now = anyio.current_time()
+        own = self._fleet.own.vm
+        if len(silent) >= CANDIDATES:
+            return own
+        ranked = self._fleet.rank(shard.task, now, CANDIDATES, shard.data_centre)
+        left = [vm for vm in ranked if vm not in silent]
+        return left[0] if left else own
 
     def report(self, report: messages.Report) -> None:
-        """Tell whoever granted the slot how the attempt went."""
-        held = self._held.pop(report.ticket, None)
-        if held is not None:
-            report = dataclasses.replace(report, shard=held.ask.shard)
-        self._tell(self._granters.pop(report.ticket, self._fleet.own.vm), report)
+        """Tell all who count the slot as in use how the attempt went.
+
+        A former dispatcher may still have asks that wait. Not told, it would keep them
+        waiting for a slot that has been free for long.
+        """
+        self._held.pop(report.ticket, None)
+        usual = [_Granter(self._fleet.own.vm, report.shard)]
+        for granter in self._granters.pop(report.ticket, usual):
+            told = dataclasses.replace(report, shard=granter.shard)
+            self._tell(granter.vm, told)
 
     def take_decision(self, decision: messages.Decision) -> None:
         """Take in the answer to an ask."""
@@ -150,25 +183,19 @@
             return (shards.Shard(service),)
         return self._desk.list_shards(service)
 
-    def _list_candidates(self, shard: shards.Shard) -> list[str]:
-        now = anyio.current_time()
-        ranked = self._fleet.rank(shard.task, now, CANDIDATES, shard.data_centre)
-        own = self._fleet.own.vm
-        if own in ranked:
-            ranked = ranked[: ranked.index(own)]
-        return ranked
-
     async def _ask(
-        self, vm: str, ask: messages.Ask, pending: _Pending
+        self, vm: str, ask: messages.Ask, pending: _Pending, silent: set[str]
     ) -> Answer | None:
-        """Return one VM's answer, or None where it gives none."""
+        """Return one VM's answer, or None where it gives none or is superseded."""
         self._hand_over(ask.shard, vm)
         pending.is_heard = False
         misses = 0
         while misses < len(ANSWER_TIMES):
             now = anyio.current_time()
             if now >= ask.deadline_at:
-                return pending.answer
+                return None
+            if pending.is_heard and self._choose_dispatcher(ask.shard, silent) != vm:
+                return None
             pause = WAIT_CHECK if pending.is_heard else ANSWER_TIMES[misses]
             # Before sending: this VM's own dispatcher answers at once.
             pending.is_heard = False
@@ -208,12 +235,12 @@
             if self._desk is not None and self._desk.covers(shard, held.target_id):
                 ask = dataclasses.replace(held.ask, shard=shard)
                 moved = self._held[ticket] = dataclasses.replace(held, ask=ask)
-                self._granters[ticket] = vm
+                self._granters.setdefault(ticket, []).append(_Granter(vm, shard))
                 self._tell(vm, datagrams.Adopted(self._fleet.own.vm, moved))
 
     def _take(self, ask: messages.Ask, vm: str, answer: Answer) -> Answer:
         if isinstance(answer, messages.Grant):
-            self._granters[ask.ticket] = vm
+            self._granters[ask.ticket] = [_Granter(vm, ask.shard)]
             self._held[ask.ticket] = messages.Held(ask, answer.target_id)
         return answer
 
@@ -241,11 +268,6 @@
             else:
                 self._desk.adopt(own, message.held, now)
 
-    def _note_silent(self, vm: str, ask: messages.Ask) -> None:
-        self._withdraw(vm, ask)
-        if self._fleet.suspect(vm, anyio.current_time()):
-            self._log.write("dispatcher_lost", peer=vm, shard=ask.shard.task)
-
 
 def _refuse_late(ask: messages.Ask) -> messages.Refuse:
     return messages.Refuse(ask.ticket, messages.RefusalReason.TOO_LATE, ask.deadline_at)
--- a/tests/edge/test_stop_corners.py
+++ b/tests/edge/test_stop_corners.py
@@ -138,14 +138,15 @@
     server = http_server.Server(
         Answers(), configuration.Limits, edge_site.fail_on_error
     )
+    raw = socket.socket()
+    got: list[bytes] = []
     async with anyio.create_task_group() as callers:
         async with anyio.create_task_group() as group:
             port = await group.start(server.serve, edge_site.HOST, 0)
-            raw = socket.create_connection((edge_site.HOST, port))
+            raw.connect((edge_site.HOST, port))
             await anyio.sleep(0.05)
             assert server.count_open() == 1
             request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-            got: list[bytes] = []
 
             async def read() -> None:
                 await anyio.wait_readable(raw)
