Count attempts that still connect against the targets of a route

What targets saw: a lookup at three targets where its route allows two. Cause: an attempt that was overdue while it connected was not counted, and a backup asked for a slot without asking the plan. Change: attempts under way count from their start, and a backup begins only where the plan says so.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -96,6 +96,7 @@
         self._attempts = 0
         self._under_way = 0
         self._sent = 0
+        self._committed = 0
         self._proved_not_run = 0
         self._has_error = False
         self._is_answered = False
@@ -129,7 +130,21 @@
     @property
     def may_retry_next(self) -> bool:
         """Whether the next attempt may be followed by another if it fails."""
-        return self.is_idempotent and self._sent + 1 < self._route.max_attempts
+        return self.is_idempotent and self._committed + 1 < self._route.max_attempts
+
+    @property
+    def may_back_up(self) -> bool:
+        """Whether the latest attempt may be followed by another."""
+        return self.is_idempotent and self._committed < self._route.max_attempts
+
+    @property
+    def committed(self) -> int:
+        """Targets that the request was sent to, or will be by an attempt under way.
+
+        One that takes long to connect will be sent all the same. Counted only then, it
+        would let the request go to more targets than its route allows.
+        """
+        return self._committed
 
     @property
     def is_idempotent(self) -> bool:
@@ -145,6 +160,7 @@
         """Take in that the request goes to a target."""
         self._attempts += 1
         self._under_way += 1
+        self._committed += 1
         self._excluded.append(target_id)
 
     def mark_sent(self) -> None:
@@ -159,6 +175,8 @@
         self._under_way -= 1
         if result is Result.ANSWERED:
             self._is_answered = True
+        if result is Result.UNREACHABLE:
+            self._committed -= 1
         if result in PROVED_NOT_RUN:
             # Only this attempt is proved not to have run; another one of idempotent
             # work may have.
@@ -196,7 +214,7 @@
     def _may_try_again(self, now: float) -> bool:
         if now + LEAST_LEFT >= self.times.deadline_at:
             return False
-        if self._sent >= self._route.max_attempts:
+        if self._committed >= self._route.max_attempts:
             return False
         if self._attempts >= self._route.max_attempts + MOST_UNSENT:
             return False
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -220,7 +220,7 @@
         left = self._plan.times.deadline_at - now
         factor = OVERDUE_FACTOR + (OVERDUE_IN_DOUBT - OVERDUE_FACTOR) * grant.doubt
         overdue = max(LEAST_OVERDUE, factor * grant.expected)
-        if not self._plan.may_retry_next:
+        if not self._plan.may_back_up:
             return math.inf
         if left - overdue <= OVERDUE_LEFT * grant.expected:
             return math.inf
@@ -248,7 +248,9 @@
             group.start_soon(_attempt)
             await anyio.sleep_until(overdue_at)
             is_overdue = True
-            step = await self._try_targets()
+            step = self._plan.find_next(anyio.current_time())
+            if step is plan.Step.TRY_AGAIN:
+                step = await self._try_targets()
             if self._plan.is_answered:
                 group.cancel_scope.cancel()
         if step is plan.Step.WAIT or self._plan.is_answered:
@@ -327,7 +329,7 @@
             priority=self._route.priority,
             objective_at=times.objective_at,
             deadline_at=times.deadline_at,
-            attempt=self._plan.sent + 1,
+            attempt=self._plan.committed + 1,
             data_centre=parts.data_centre,
             excluded=tuple(sorted({*self._plan.excluded, *unreachable})),
         )
