Serve quick work at a stop whatever its route allows

What callers saw: 503 right after SIGTERM for work of milliseconds, where the objective of its route is as long as the stop. Change: requests are refused in the last second only, or their objective if that is shorter.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -22,6 +22,10 @@
     vocabulary,
 )
 
+MOST_LEFT_FREE = 1.0
+"""Most seconds before the end of the process in which new requests are refused. Work
+takes some tenths of a second, whatever its route allows."""
+
 RETRY_SOON = 0.5
 """Seconds after which a caller may come back when this VM knows no configuration."""
 
@@ -112,8 +116,7 @@
         route = self._knowledge.router.find(incoming.host, path)
         if route is None:
             return self._refuse(incoming, 404, "no-route")
-        if self._ends_at - anyio.current_time() < route.objective:
-            # The process ends before most of this work would; another VM serves it.
+        if self._is_too_late(route):
             pause = request_run.RETURN_ELSEWHERE
             return self._refuse(incoming, 503, request_run.STOPPING, pause)
         service = self._knowledge.router.choose_service(route)
@@ -135,6 +138,14 @@
         for run in self._runs:
             run.end_by(at)
 
+    def _is_too_late(self, route: configuration.Route) -> bool:
+        """Return whether the process ends too soon for a new request.
+
+        Another VM serves it then.
+        """
+        left = self._ends_at - anyio.current_time()
+        return left < min(route.objective, MOST_LEFT_FREE)
+
     def _make_ticket(self) -> str:
         return f"{self._prefix}{next(self._numbers)}"
 
