Bound the wait for the balancer by the limit of the stop

Cause: with settings whose wait is longer than their limit the process was killed in the middle of its stop, with nothing logged. The test that was known to fail holds.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/stopping.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/stopping.py
@@ -101,7 +101,7 @@
     ]
     for name, step in steps:
         supervision.attempt(name, step, note_fault)
-    await anyio.sleep(times.unready_after)
+    await anyio.sleep_until(min(began + times.unready_after, answer_by))
     # Twice: connections that came while the first ones were answered are idle now.
     for _ in range(2):
         await supervision.attempt_async("close idle", served.close_idle, note_fault)
