Blame no target for work that a stop cuts off

Cause: work that was broken off at the limit of a stop was reported as silent, so that sound targets were doubted more with each VM of a rolling restart. Change: it is reported as abandoned. The test that was known to fail holds.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -313,8 +313,11 @@
             return messages.Outcome.SILENT, OVERDUE
         if self._plan.is_answered:
             return messages.Outcome.ABANDONED, OTHER_ANSWERED
+        if self._is_ending and now >= self._plan.times.deadline_at:
+            # The process ends, which says nothing of the target.
+            return messages.Outcome.ABANDONED, STOPPING
         if now >= self._plan.times.deadline_at:
-            return messages.Outcome.SILENT, self._name_deadline()
+            return messages.Outcome.SILENT, DEADLINE
         return messages.Outcome.ABANDONED, CALLER_LEFT
 
     def _name_deadline(self) -> str:
