Let a stop wait for the last look at idle connections

What callers saw: a reset for a request that arrived as a stop closed idle connections, where all connections were idle. Cause: they still counted as idle, so that the stop saw nothing owed and ended in the same turn of the loop. The test that was known to fail holds.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_server.py
@@ -181,9 +181,11 @@
     async def close_idle(self) -> None:
         """Close the connections on which no request is under way or about to be read.
 
-        They end by themselves, LAST_LOOK later at most.
+        They end by themselves, LAST_LOOK later at most. Until then they are no longer
+        idle: a stop that counted them as such would end before their last look.
         """
         for connection in list(self._idle):
+            self.note_idle(connection, is_idle=False)
             connection.end_idle()
 
     def is_owing(self) -> bool:
