Name the start of a VM in its word of leaving

What other VMs saw: a late word of leaving made the next start of the VM leave, and it was forgotten after a minute while it lived; a VM that started again with its clock set back was ignored for a minute. Change: leaving concerns one start; after it, any other entry is taken for the next one.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -36,6 +36,9 @@
     vm: str
     """The sender."""
 
+    incarnation: int
+    """Which start of it: a late word must not concern the next one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
@@ -173,7 +176,7 @@
         case Hello():
             return ["h", message.wants_answer, *dataclasses.astuple(message.member)]
         case Leaving():
-            return ["l", message.vm]
+            return ["l", message.vm, message.incarnation]
         case News():
             changes = [_pack_change(one, now) for one in message.changes]
             head = [message.vm, message.version, message.position, message.since]
@@ -211,7 +214,7 @@
         case "h":
             return Hello(ports.Member(*rest[1:]), bool(rest[0]))
         case "l":
-            return Leaving(rest[0])
+            return Leaving(rest[0], rest[1])
         case "n":
             changes = tuple(_unpack_change(one, now) for one in rest[4])
             vm, version, position, since = rest[:4]
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -99,7 +99,7 @@
             case datagrams.Hello():
                 self._take_hello(message, now)
             case datagrams.Leaving():
-                self._fleet.note_leaving(message.vm, now)
+                self._fleet.note_leaving(message.vm, message.incarnation, now)
             case datagrams.News():
                 if self._fleet.is_direct(message.vm, message.is_relayed):
                     self._fleet.note_heard(message.vm, now)
@@ -158,6 +158,7 @@
 
     def tell_leaving(self) -> None:
         """Tell all others that this VM leaves, and leave its tasks to them."""
-        self._fleet.note_leaving(self._fleet.own.vm, anyio.current_time())
-        leaving = datagrams.Leaving(self._fleet.own.vm)
+        own = self._fleet.own
+        self._fleet.note_leaving(own.vm, own.incarnation, anyio.current_time())
+        leaving = datagrams.Leaving(own.vm, own.incarnation)
         self._link.send_many(leaving, self._fleet.list_others())
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -55,7 +55,7 @@
         known = self._known.get(member.vm)
         if member.vm == self.own.vm:
             return False
-        if known is not None and known.incarnation >= member.incarnation:
+        if known is not None and not self._is_later(member, known):
             return False
         self._known[member.vm] = member
         self._heard_since.pop(member.vm, None)
@@ -64,6 +64,16 @@
         self._ranks.clear()
         return True
 
+    def _is_later(self, member: ports.Member, known: ports.Member) -> bool:
+        """Return whether an entry is of a later start of a VM than the known one.
+
+        Incarnations are times of day, which may be set back between two starts. After
+        a VM that leaves, any other entry is of its next start.
+        """
+        if member.vm in self._leaving_until:
+            return member.incarnation != known.incarnation
+        return member.incarnation > known.incarnation
+
     def note_heard(self, vm: str, now: float) -> None:
         """Take in that a VM was heard from."""
         if vm in self._known:
@@ -80,13 +90,14 @@
         self._suspect_until[vm] = now + SUSPECT_FOR
         return is_news
 
-    def note_leaving(self, vm: str, now: float) -> None:
+    def note_leaving(self, vm: str, incarnation: int, now: float) -> None:
         """Take in that a VM, or this one, is leaving: it does nothing for all any more.
 
         Its address is kept. It serves its callers for some seconds, and dispatchers
         that could not answer its asks would each seem dead to it.
         """
-        if vm in self._known:
+        known = self._known.get(vm)
+        if known is not None and known.incarnation == incarnation:
             self._leaving_until[vm] = now + LEAVING_FOR
 
     def forget_gone(self, now: float) -> None:
--- a/tests/edge/test_members.py
+++ b/tests/edge/test_members.py
@@ -81,7 +81,7 @@
     # forgot its address and could not answer its asks: it took one dispatcher after the
     # other for dead, 0.09 s each, and its second attempts were refused by itself.
     fleet = make_fleet("a", "b")
-    fleet.note_leaving("a", SETTLED)
+    fleet.note_leaving("a", 1, SETTLED)
     assert "a" not in fleet.rank("desk", SETTLED, 4)
     assert "a" not in fleet.rank_heard("desk", SETTLED)
     fleet.note_heard("a", SETTLED)
@@ -92,7 +92,7 @@
 
 def test_vm_that_left_is_forgotten_some_time_after() -> None:
     fleet = make_fleet("a")
-    fleet.note_leaving("a", SETTLED)
+    fleet.note_leaving("a", 1, SETTLED)
     fleet.forget_gone(SETTLED + 1)
     assert fleet.find("a") is not None
     fleet.forget_gone(SETTLED + members.LEAVING_FOR)
@@ -101,7 +101,7 @@
 
 def test_vm_that_left_and_starts_again_takes_tasks() -> None:
     fleet = make_fleet("a")
-    fleet.note_leaving("a", SETTLED)
+    fleet.note_leaving("a", 1, SETTLED)
     assert fleet.add(make_member("a", incarnation=2))
     fleet.note_heard("a", SETTLED)
     assert "a" in fleet.rank("desk", 2 * SETTLED, 4)
@@ -111,7 +111,7 @@
 
 def test_own_entry_stays_and_leaves_tasks_to_others() -> None:
     fleet = make_fleet("a")
-    fleet.note_leaving("own", SETTLED)
+    fleet.note_leaving("own", 1, SETTLED)
     assert fleet.rank("desk", SETTLED, 4) == ["a"]
     fleet.forget_gone(SETTLED + members.LEAVING_FOR)
     assert fleet.find("own") is not None
--- a/tests/edge/test_peer_link.py
+++ b/tests/edge/test_peer_link.py
@@ -33,14 +33,14 @@
     heard: list[datagrams.Message] = []
     broken = ports.Member("vm-3", "a", host, port, 1)
     sound = ports.Member("vm-2", "a", HOST, other.port, 1)
-    link.send_many(datagrams.Leaving("vm-1"), [broken, sound])
+    link.send_many(datagrams.Leaving("vm-1", 1), [broken, sound])
     async with anyio.create_task_group() as group:
         group.start_soon(other.run, heard.append)
         with anyio.fail_after(5.0):
             while not heard:
                 await anyio.sleep(0.01)
         group.cancel_scope.cancel()
-    assert heard == [datagrams.Leaving("vm-1")]
+    assert heard == [datagrams.Leaving("vm-1", 1)]
     assert (link.sent, link.unsent) == (1, 1)
 
 
@@ -54,14 +54,14 @@
         raise RuntimeError("a fault")
 
     me = ports.Member("vm-1", "a", HOST, link.port, 1)
-    other.send(datagrams.Leaving("vm-2"), me)
+    other.send(datagrams.Leaving("vm-2", 1), me)
     with anyio.fail_after(5.0):
         with pytest.raises(RuntimeError):
             await link.run(fail)
-        other.send(datagrams.Leaving("vm-2"), me)
+        other.send(datagrams.Leaving("vm-2", 1), me)
         async with anyio.create_task_group() as group:
             group.start_soon(link.run, heard.append)
             while not heard:
                 await anyio.sleep(0.01)
             group.cancel_scope.cancel()
-    assert heard == [datagrams.Leaving("vm-2")]
+    assert heard == [datagrams.Leaving("vm-2", 1)]
--- a/tests/edge/test_stop_corners.py
+++ b/tests/edge/test_stop_corners.py
@@ -182,21 +182,21 @@
     fleet = make_fleet()
     fleet.add(make_member(5_000))
     fleet.note_heard("vm-1", 1.0)
-    fleet.note_leaving("vm-1", 10.0)
+    fleet.note_leaving("vm-1", 5_000, 10.0)
     fleet.add(make_member(4_000))
     fleet.note_heard("vm-1", 15.0)
     assert "vm-1" in fleet.rank_heard("task", 20.0)
 
 
 def test_late_word_of_leaving_does_not_concern_the_vm_that_started_since() -> None:
-    # Words of leaving name no incarnation. One that is overtaken by the greeting of the
-    # VM's next start makes that one leave: its greetings no longer help, and after a
-    # minute it is forgotten while it lives.
+    # Words of leaving named no incarnation. One that is overtaken by the greeting of
+    # the VM's next start made that one leave: its greetings no longer helped, and after
+    # a minute it was forgotten while it lived.
     fleet = make_fleet()
     fleet.add(make_member(1_000))
     fleet.note_heard("vm-1", 1.0)
     fleet.add(make_member(2_000))
-    fleet.note_leaving("vm-1", 10.0)
+    fleet.note_leaving("vm-1", 1_000, 10.0)
     fleet.add(make_member(2_000))
     fleet.note_heard("vm-1", 11.0)
     fleet.forget_gone(10.0 + members.LEAVING_FOR)
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -161,7 +161,7 @@
     async with edge_site.run_site() as site:
         taken: list[str] = []
 
-        def note_leaving(_: members.Members, vm: str, now: float) -> None:
+        def note_leaving(_: members.Members, vm: str, *rest: object) -> None:
             taken.append(vm)
             fail()
 
@@ -170,7 +170,7 @@
             address = vm.settings.peers
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
                 for name in ("vm-8", "vm-9"):
-                    data = datagrams.encode(datagrams.Leaving(name), 0.0)
+                    data = datagrams.encode(datagrams.Leaving(name, 1), 0.0)
                     sender.sendto(data, (address.host, address.port))
 
         vm = await answer_despite(site, break_it)
