Tell a VM that starts who is leaving

What other VMs saw: a VM that starts while another leaves took that one for a dispatcher, some four seconds later, until it gave no answer. Cause: leaving is told once, and a VM that leaves gave no answer to greetings. Change: it answers that it leaves. The test that was known to fail holds, as do 24 others of stops and placement.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -122,9 +122,19 @@
         if self._fleet.add(hello.member):
             self._log.write("vm_joined", peer=hello.member.vm)
         self._fleet.note_heard(hello.member.vm, now)
-        if hello.wants_answer and not self.is_leaving:
-            reply = datagrams.Hello(self._fleet.own, wants_answer=False)
-            self._link.send(reply, hello.member)
+        if hello.wants_answer:
+            self._link.send(self._make_reply(), hello.member)
+
+    def _make_reply(self) -> datagrams.Hello | datagrams.Leaving:
+        """Return the answer to a greeting.
+
+        A VM that starts while this one leaves has not heard that it does. Taken for one
+        that stays, this one would be asked first where it ranks first.
+        """
+        own = self._fleet.own
+        if self.is_leaving:
+            return datagrams.Leaving(own.vm, own.incarnation)
+        return datagrams.Hello(own, wants_answer=False)
 
     async def tell_opinions_regularly(self) -> None:
         """Tell opinions until cancelled."""
