Take no dispatcher for dead whose ask waited until its deadline

What the fleet saw: a VM whose ask waited until the deadline took the dispatcher for dead for 30 s or until it greeted. Change: at the deadline the ask is withdrawn, and that is all.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -130,12 +130,12 @@
         vm = self._choose_dispatcher(ask.shard, silent)
         answer: Answer | None = None
         try:
-            while answer is None and anyio.current_time() < ask.deadline_at:
+            while anyio.current_time() < ask.deadline_at:
                 answer = await self._ask(vm, ask, pending, silent)
-                if answer is None:
-                    vm = self._move_on(vm, ask, silent)
-            answer = answer or _refuse_late(ask)
-            return self._take(ask, vm, answer)
+                if answer is not None:
+                    return self._take(ask, vm, answer)
+                vm = self._move_on(vm, ask, silent)
+            return _refuse_late(ask)
         finally:
             del self._pending[ask.ticket]
             if answer is None:
@@ -144,9 +144,12 @@
     def _move_on(self, vm: str, ask: messages.Ask, silent: set[str]) -> str:
         """Leave a dispatcher without an answer; return the one to ask next."""
         self._withdraw(vm, ask)
+        now = anyio.current_time()
+        if now >= ask.deadline_at:
+            return vm  # It kept the ask waiting, which is no silence.
         if vm == self._choose_dispatcher(ask.shard, silent):
             silent.add(vm)
-            if self._fleet.suspect(vm, anyio.current_time()):
+            if self._fleet.suspect(vm, now):
                 self._log.write("dispatcher_lost", peer=vm, shard=ask.shard.task)
         return self._choose_dispatcher(ask.shard, silent)
 
--- a/tests/edge/test_placement.py
+++ b/tests/edge/test_placement.py
@@ -209,6 +209,25 @@
     assert 3 <= len(one.link.list_asked()) <= 6
 
 
+async def test_deadline_of_an_ask_that_waits_makes_no_dispatcher_suspect() -> None:
+    # A dispatcher keeps an ask waiting until its deadline, since all slots are taken.
+    # It lives; taken for dead, it would lose its tasks in the eyes of this VM.
+    site = Fixture()
+
+    def answer(vm: str, message: datagrams.Message) -> None:
+        if isinstance(message, datagrams.Asked):
+            site.placement.take_decision(messages.Wait(message.ask.ticket))
+
+    site.link.answer = answer
+    ask = dataclasses.replace(site.make_ask(), deadline_at=site.now + 0.3)
+    refused = await site.placement.acquire(ask)
+    assert isinstance(refused, messages.Refuse)
+    assert refused.reason is messages.RefusalReason.TOO_LATE
+    assert site.fleet.rank(site.service, site.now, 1) == [site.first]
+    withdrawn = [one for _, one in site.link.sent_messages if one != ask]
+    assert any(isinstance(one, messages.Report) for one in withdrawn)
+
+
 async def test_caller_that_leaves_gives_its_place_back() -> None:
     one = Fixture()
     with anyio.move_on_after(0.01):
