--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -160,7 +160,11 @@
         If it holds none.
     """
     try:
-        return _unpack(cbor2.loads(data), now)
+        fields = cbor2.loads(data)
+        if not isinstance(fields, list):
+            # A text can be indexed too: two letters of one read as a VM's leaving.
+            raise UnreadableError("no array")
+        return _unpack(fields, now)
     except (
         cbor2.CBORDecodeError,
         ValueError,
@@ -205,10 +209,7 @@
             return ["e", *_pack_shard(message.shard), *fields]
 
 
-def _unpack(fields: object, now: float) -> Message:
-    if not isinstance(fields, list):
-        # A text can be indexed too: two letters of one read as the leaving of a VM.
-        raise ValueError("no array")
+def _unpack(fields: list, now: float) -> Message:
     kind, rest = fields[0], fields[1:]
     match kind:
         case "h":
