--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -62,6 +62,15 @@
     attempts: int = 0
     """Targets that it was tried at."""
 
+    service: str = ""
+    """The service that it goes to; empty where it has none."""
+
+    route: str = ""
+    """Its route; empty where it has none."""
+
+    objective: float | None = None
+    """Seconds from its first byte within which an answer is in time."""
+
 
 class RequestNotes:
     """Where decisions about requests are noted.
@@ -107,6 +116,11 @@
 
     def note_answer(self, answer: Answer) -> None:
         """Note the one answer to a request."""
+        fields: dict[str, log_lines.Value] = {}
+        if answer.objective is not None:
+            fields["service"] = answer.service
+            fields["route"] = answer.route
+            fields["objective_ms"] = round(answer.objective * MILLISECONDS)
         self._log.write(
             "answer",
             request=answer.request_id,
@@ -115,6 +129,7 @@
             ms=round(answer.took * MILLISECONDS),
             attempts=answer.attempts,
             version=self._configured.version,
+            **fields,
         )
         self._counters.count(
             "zinniastand_answers_total",
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -405,7 +405,14 @@
         took = now - self._incoming.read_at
         self._parts.notes.note_answer(
             request_notes.Answer(
-                self._request_id, reply.status, self._why, took, self._plan.attempts
+                self._request_id,
+                reply.status,
+                self._why,
+                took,
+                self._plan.attempts,
+                self._service,
+                self._route.name,
+                self._plan.times.objective_at - self._incoming.read_at,
             )
         )
         return reply
