Explain from the logs why requests were not served

`zinniactl explain` judges each request by the lines of its attempts and its answer, and totals causes by second, service, data centre, VM and target; it tells one request's story, writes one page that needs nothing else, compares two runs (differences below two standard deviations of the counts are noise) and prints JSON.

Memory grows with names and with requests under way, not with lines.

--- a/packages/zinniastand-ctl/src/zinniastand_ctl/cli.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/cli.py
@@ -10,6 +10,7 @@
 from zinniastand_standins import demo
 
 from . import bundle_commands, fleet_commands, output
+from .explain import commands as explain_commands
 
 app = typer.Typer(
     add_completion=False,
@@ -30,6 +31,7 @@
 app.command("follow")(fleet_commands.follow)
 app.command("status")(fleet_commands.status)
 app.command("timeline")(fleet_commands.timeline)
+app.command("explain")(explain_commands.explain)
 
 
 @app.command("demo")
--- /dev/null
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Why requests were not served, from the daemons' log lines."""
--- /dev/null
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -0,0 +1,142 @@
+"""An account as plain values: for scripts, for a page, and to compare two of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from . import account, causes
+
+MOST_ROWS = 20
+"""Targets and VMs that are named; those that failed most."""
+
+NOISE = 2.0
+"""Standard deviations of a count below which two runs do not differ."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CauseRow:
+    """How often a cause was met."""
+
+    result: str
+    """What callers got."""
+
+    cause: str
+    """Why."""
+
+    count: int
+    """Requests."""
+
+    share: float
+    """Of all requests that are owed an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRow:
+    """What was believed of a target, and how it did."""
+
+    target: str
+    service: str
+    attempts: int
+    failed: float
+    """Share of its attempts that failed."""
+
+    doubt: float
+    """Mean of the believed chances that it fails."""
+
+    shed: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """One cause in two runs."""
+
+    cause: str
+    before: int
+    after: int
+    is_noise: bool
+    """Whether counts of two equal runs may differ so much."""
+
+
+def count_owed(found: account.Account) -> int:
+    """Return the requests that the fleet owes an answer."""
+    return found.requests - found.count_result(causes.Result.DECLINED)
+
+
+def list_causes(found: account.Account) -> list[CauseRow]:
+    """Return the causes, the most frequent first."""
+    owed = max(1, count_owed(found))
+    return [
+        CauseRow(result.value, cause.value, count, count / owed)
+        for (result, cause), count in found.results.most_common()
+        if cause is not None
+    ]
+
+
+def list_targets(found: account.Account) -> list[TargetRow]:
+    """Return the targets with the most failed attempts."""
+    rows = sorted(found.targets.items(), key=lambda item: -item[1].failed)
+    return [
+        TargetRow(
+            name,
+            row.service,
+            row.attempts,
+            round(row.failed / max(1, row.attempts), 3),
+            round(row.doubt / max(1, row.attempts), 3),
+            row.shed,
+        )
+        for name, row in rows[:MOST_ROWS]
+    ]
+
+
+def describe(found: account.Account) -> dict[str, object]:
+    """Return all that there is to say, as values that JSON holds."""
+    return {
+        "requests": found.requests,
+        "owed": count_owed(found),
+        "results": {
+            result.value: found.count_result(result) for result in causes.Result
+        },
+        "causes": [dataclasses.asdict(row) for row in list_causes(found)],
+        "tried_again": found.tried_again,
+        "without_answer": found.unanswered,
+        "lines_dropped": found.lines_dropped,
+        "attempts": dict(found.attempts),
+        "store_calls": [
+            {"call": call, "outcome": outcome, "count": count}
+            for (call, outcome), count in sorted(found.store_calls.items())
+        ],
+        "by_second": _name_keys(found.by_second),
+        "causes_by_second": _name_keys(found.causes_by_second),
+        "by_service": _name_keys(found.by_service),
+        "by_data_centre": _name_keys(found.by_place),
+        "by_vm": _name_keys(found.by_vm),
+        "targets": [dataclasses.asdict(row) for row in list_targets(found)],
+        "versions": {
+            str(version): {"vms": len(times), "spread_s": max(times) - min(times)}
+            for version, times in sorted(found.versions.items())
+        },
+    }
+
+
+def compare(before: account.Account, after: account.Account) -> list[Difference]:
+    """Return how often each cause was met in two runs, the largest change first."""
+    first = {f"{row.result} / {row.cause}": row.count for row in list_causes(before)}
+    second = {f"{row.result} / {row.cause}": row.count for row in list_causes(after)}
+    scale = count_owed(after) / max(1, count_owed(before))
+    rows = [
+        _compare_counts(name, first.get(name, 0), second.get(name, 0), scale)
+        for name in sorted({*first, *second})
+    ]
+    return sorted(rows, key=lambda row: -abs(row.after - row.before))
+
+
+def _compare_counts(name: str, before: int, after: int, scale: float) -> Difference:
+    """Compare two counts of chance events over different numbers of requests."""
+    expected = before * scale
+    spread = math.sqrt(max(1.0, after + expected * scale))
+    return Difference(name, before, after, abs(after - expected) < NOISE * spread)
+
+
+def _name_keys(groups: dict) -> dict[str, dict[str, int]]:
+    return {str(name): dict(groups[name]) for name in sorted(groups)}
--- /dev/null
+++ b/tests/ctl/test_explain.py
@@ -0,0 +1,247 @@
+"""Why requests were not served, told from log lines."""
+
+from __future__ import annotations
+
+import gzip
+import json
+import pathlib
+
+import pytest
+import typer.testing
+
+from zinniastand_ctl import cli
+from zinniastand_ctl.explain import account, account_page, causes, log_reader, summary
+
+RUNNER = typer.testing.CliRunner()
+
+
+def make_attempt(outcome: str, doubt: object = 0.05, **changes: object) -> str:
+    record = {
+        "time": 100.2,
+        "vm": "vm-1",
+        "event": "attempt",
+        "request": "r1",
+        "service": "desk",
+        "target": "t1",
+        "doubt": doubt,
+        "expected_ms": 100,
+        "waited_ms": 1.0,
+        "outcome": outcome,
+        "why": "500",
+        "ms": 20,
+    }
+    return json.dumps({**record, **changes})
+
+
+def make_answer(status: int, why: str, **changes: object) -> str:
+    record = {
+        "time": 100.4,
+        "vm": "vm-1",
+        "event": "answer",
+        "request": "r1",
+        "status": status,
+        "why": why,
+        "ms": 30,
+        "attempts": 1,
+        "service": "desk",
+        "objective_ms": 500,
+    }
+    return json.dumps({**record, **changes})
+
+
+def judge(*lines: str) -> tuple[str, str]:
+    """Return result and cause of one request."""
+    found = account.Account()
+    for line in lines:
+        found.take(json.loads(line))
+    [(result, cause)] = found.results
+    return result.value, cause.value if cause is not None else ""
+
+
+@pytest.mark.parametrize(
+    ("lines", "cause"),
+    [
+        ((make_attempt("failed"), make_answer(500, "500")), causes.Cause.SURPRISE),
+        ((make_attempt("failed", 0.6), make_answer(500, "500")), causes.Cause.KNOWN),
+        (
+            (make_attempt("failed"), make_attempt("failed"), make_answer(500, "500")),
+            causes.Cause.AGAIN,
+        ),
+        (
+            (make_attempt("failed"), make_answer(500, "retry-budget")),
+            causes.Cause.NO_RETRY_LEFT,
+        ),
+        ((make_attempt("silent"), make_answer(504, "deadline")), causes.Cause.SILENT),
+        ((make_answer(504, "deadline"),), causes.Cause.DEADLINE),
+        ((make_answer(503, "overloaded"),), causes.Cause.QUEUE),
+        (
+            (make_attempt("shed"), make_answer(503, "retry-budget")),
+            causes.Cause.RETRY_BUDGET,
+        ),
+        (
+            (make_attempt("shed"), make_attempt("shed"), make_answer(503, "503")),
+            causes.Cause.ALL_TURNED_AWAY,
+        ),
+        (
+            (make_attempt("unreachable"), make_answer(503, "no connection")),
+            causes.Cause.PATH,
+        ),
+        ((make_answer(503, "no-configuration"),), causes.Cause.NO_KNOWLEDGE),
+        ((make_answer(504, "stopping"),), causes.Cause.STOP),
+        ((make_answer(502, "unexpected error"),), causes.Cause.FAULT),
+        ((make_answer(502, "caller left"),), causes.Cause.CALLER_LEFT),
+        (
+            (make_attempt("good", ms=800), make_answer(200, "200", ms=810)),
+            causes.Cause.LATE_SLOW,
+        ),
+        (
+            (
+                make_attempt("good", ms=800, expected_ms=600),
+                make_answer(200, "200", ms=810),
+            ),
+            causes.Cause.LATE_WORK,
+        ),
+        (
+            (
+                make_attempt("good", ms=100, waited_ms=600),
+                make_answer(200, "200", ms=710),
+            ),
+            causes.Cause.LATE_QUEUE,
+        ),
+        (
+            (
+                make_attempt("failed"),
+                make_attempt("good", ms=300),
+                make_answer(200, "200", ms=710),
+            ),
+            causes.Cause.LATE_AGAIN,
+        ),
+    ],
+)
+def test_request_that_was_not_served_in_time_has_its_cause(
+    lines: tuple[str, ...], cause: causes.Cause
+) -> None:
+    assert judge(*lines)[1] == cause.value
+
+
+def test_served_and_unknown_requests_have_no_cause() -> None:
+    served = make_attempt("good"), make_answer(200, "200")
+    assert judge(*served) == ("served", "")
+    assert judge(make_answer(404, "no-route")) == ("declined", "")
+
+
+def write_logs(folder: pathlib.Path) -> None:
+    """Write the lines of two VMs: whole, prefixed, torn, packed."""
+    lines = [
+        '{"time":100.0,"vm":"vm-1","event":"started","data_centre":"a"}',
+        make_attempt("failed", 0.7),
+        "host-7 12:00:01 " + make_answer(500, "500"),
+        '{"time":101.0,"vm":"vm-1","event":"answ',
+        "no line of ours",
+        '["an","array"]',
+    ]
+    (folder / "vm-1.log").write_text("\n".join(lines))
+    other = {"vm": "vm-2", "request": "r2", "time": 101.5}
+    with gzip.open(folder / "vm-2.log.gz", "wt") as file:
+        file.write(make_attempt("good", **other) + "\n")
+        file.write(make_answer(200, "200", **other) + "\n")
+        file.write(
+            '{"time":101.6,"vm":"vm-2","event":"store_call","call":"announce",'
+            '"outcome":"200","ms":4}\n'
+        )
+
+
+def run(*arguments: object) -> typer.testing.Result:
+    return RUNNER.invoke(cli.app, ["explain", *map(str, arguments)])
+
+
+def test_logs_of_several_vms_are_totalled(tmp_path: pathlib.Path) -> None:
+    write_logs(tmp_path)
+    result = run(tmp_path, "--json")
+    assert result.exit_code == 0
+    found = json.loads(result.stdout)
+    assert found["owed"] == 2
+    assert found["results"]["served"] == 1
+    assert found["causes"][0]["cause"] == causes.Cause.KNOWN.value
+    assert found["by_data_centre"]["a"] == {"failed": 1}
+    assert found["store_calls"] == [{"call": "announce", "outcome": "200", "count": 1}]
+
+
+def test_broken_lines_are_named_and_the_rest_is_read(tmp_path: pathlib.Path) -> None:
+    write_logs(tmp_path)
+    result = run(tmp_path)
+    assert "vm-1.log:4" in result.stderr
+    assert "2 requests at 2 VMs" in result.stdout
+
+
+def test_torn_archive_is_read_as_far_as_it_goes(tmp_path: pathlib.Path) -> None:
+    whole = gzip.compress(("\n".join([make_answer(200, "200")] * 500)).encode())
+    (tmp_path / "vm.log.gz").write_bytes(whole[:-20])
+    reader = log_reader.LogReader()
+    assert len(list(reader.read([str(tmp_path)]))) > 100
+    assert reader.broken == 1
+
+
+def test_no_input_is_an_error_with_a_hint(tmp_path: pathlib.Path) -> None:
+    for path in (tmp_path, tmp_path / "missing.log"):
+        result = run(path)
+        assert result.exit_code == 2
+        assert "give files or folders" in result.stderr
+
+
+def test_story_of_a_request_is_in_order(tmp_path: pathlib.Path) -> None:
+    write_logs(tmp_path)
+    result = run(tmp_path, "--request", "r1")
+    events = [line.split()[2] for line in result.stdout.splitlines()]
+    assert events == ["attempt", "answer"]
+    assert run(tmp_path, "--request", "r7").exit_code == 1
+
+
+def test_page_shows_each_second_and_cause(tmp_path: pathlib.Path) -> None:
+    write_logs(tmp_path)
+    page = tmp_path / "page.html"
+    assert run(tmp_path, "--html", page).exit_code == 0
+    text = page.read_text()
+    assert causes.Cause.KNOWN.value in text
+    assert text.count("<rect") >= 3
+    assert "http" not in text
+
+
+def test_columns_stay_within_the_picture() -> None:
+    counts = {5: {"a": 3, "b": 1}, 7: {"b": 2}}
+    boxes = account_page.draw_columns(counts, {"a": "#000", "b": "#fff"})
+    assert len(boxes) == 3
+    for box in boxes:
+        assert 0 <= float(str(box["y"])) <= account_page.HEIGHT
+        right = float(str(box["x"])) + float(str(box["width"]))
+        assert right <= account_page.WIDTH
+    assert account_page.draw_columns({}, {}) == []
+
+
+def test_two_runs_are_compared_beyond_noise(tmp_path: pathlib.Path) -> None:
+    def make_account(failed: int) -> account.Account:
+        found = account.Account()
+        for number in range(1000):
+            name = {"request": f"r{number}"}
+            if number < failed:
+                found.take(json.loads(make_attempt("failed", **name)))
+                found.take(json.loads(make_answer(500, "500", **name)))
+            else:
+                found.take(json.loads(make_answer(200, "200", **name)))
+        return found
+
+    [same] = summary.compare(make_account(50), make_account(55))
+    assert same.is_noise
+    [less] = summary.compare(make_account(90), make_account(30))
+    assert not less.is_noise
+
+
+def test_attempts_without_an_answer_do_not_fill_the_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(account, "MOST_OPEN", 10)
+    found = account.Account()
+    for number in range(100):
+        found.take(json.loads(make_attempt("good", request=f"r{number}")))
+    found.finish()
+    assert found.unanswered == 100
