Let no late word bring back a target that a listing lacks

What callers would see: after a VM has read all targets, or after a peer that stood still wakes, an entry that was written before the listing names a target that had gone by then. It was taken for new, and nobody would ever say again that the target is gone.

Cause: a change was held only against the last position of its own target, and a target that is unknown has none. Test: an entry older than the end of the listing came back on the code before. Now whatever is older than the end of the last listing is passed over, since the listing knew of it.

--- a/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -88,6 +88,7 @@
         self._entries: dict[str, Entry] = {}
         self._positions: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
+        self._listed_to = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -96,6 +97,16 @@
         """Return all entries, draining ones included."""
         return list(self._entries.values())
 
+    def list_lasting(self) -> list[Entry]:
+        """Return all entries but those of targets that have vanished.
+
+        Those are in use for a moment, in case they come back. Whoever learns of them
+        from here would not hear that they are gone, and keep them.
+        """
+        return [
+            one for one in self._entries.values() if one.target_id not in self._lapsing
+        ]
+
     def find(self, target_id: str) -> Entry | None:
         """Return the entry of a target, leaving or not."""
         return self._entries.get(target_id)
@@ -123,6 +134,8 @@
         for change in changes:
             if change.position <= self._positions.get(change.target_id, -1):
                 continue
+            if change.position < self._listed_to:
+                continue  # The last listing knew of it.
             self._positions[change.target_id] = change.position
             if isinstance(change, Gone):
                 gone.append(change)
@@ -137,7 +150,11 @@
         listed = list(entries)
         names = {entry.target_id for entry in listed}
         missing = [Gone(name, position) for name in self._entries if name not in names]
-        return self.apply([*listed, *missing], now)
+        # Entries of the listing are older than its end.
+        self._listed_to = 0
+        news = self.apply([*listed, *missing], now)
+        self._listed_to = position
+        return news
 
     def remove_misplaced(self, target_id: str) -> None:
         """Drop a target at whose address another one answered."""
--- a/tests/deployment/test_targets.py
+++ b/tests/deployment/test_targets.py
@@ -98,3 +98,25 @@
     assert registry.apply([entry], 0.0) == [entry]
     again = dataclasses.replace(entry, position=2, cold_until=3.0)
     assert registry.apply([again], 0.0) == []
+
+
+def test_late_word_of_a_target_does_not_bring_it_back_after_a_listing() -> None:
+    # Guards against a VM that starts while a target leaves, and then hears a peer that
+    # stood still tell of it as ready.
+    registry = targets.Registry()
+    registry.replace([make_entry("t1", position=3)], 9, 0.0)
+    assert registry.apply([make_entry("t2", position=8)], 0.0) == []
+    assert registry.find("t2") is None
+    assert registry.apply([make_entry("t3", position=9)], 0.0) != []
+    assert registry.find_usable("t3") is not None
+
+
+def test_targets_that_have_vanished_are_not_handed_on() -> None:
+    # Guards against a VM that starts in the grace of vanished targets and never hears
+    # that they are gone.
+    registry = targets.Registry()
+    names = ["t1", "t2", "t3"]
+    registry.apply([make_entry(name, position=1) for name in names], 0.0)
+    registry.apply([targets.Gone("t1", 2), targets.Gone("t2", 3)], 0.0)
+    assert registry.find_usable("t1") is not None
+    assert [one.target_id for one in registry.list_lasting()] == ["t3"]
