--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_codec.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_codec.py
@@ -1,88 +1,59 @@
-"""Hands the configuration in force from one VM to another.
-
-A configuration with many routes does not fit a datagram, so a VM that lacks one fetches
-it over a connection. Notices travel with the news of the targets.
-"""
+"""The configuration as VMs hand it to each other."""
 
 from __future__ import annotations
 
-import collections.abc
+import zlib
 
-import anyio
-import anyio.abc
 import cbor2
 
 from zinniastand_core import services
 from zinniastand_core.deployment import configuration
 
-FETCH_TIMEOUT = 1.0
-"""Seconds for one fetch: a megabyte over the slowest links of the fleet."""
-
 MOST_BYTES = 16 << 20
 """Largest configuration taken from a peer."""
 
 
-async def serve(
-    host: str,
-    port: int,
-    read_current: collections.abc.Callable[[], configuration.Configuration | None],
-) -> None:
-    """Serve the configuration in force until cancelled."""
-
-    async def _answer(stream: anyio.abc.SocketStream) -> None:
-        async with stream:
-            with anyio.move_on_after(FETCH_TIMEOUT):
-                current = read_current()
-                try:
-                    await stream.send(encode(current) if current else b"")
-                except anyio.BrokenResourceError:
-                    return  # The peer gave up; it will ask somebody else.
+def pack(value: object) -> bytes:
+    """Return plain values as compressed CBOR."""
+    return zlib.compress(cbor2.dumps(value))
 
-    async with await anyio.create_tcp_listener(
-        local_host=host, local_port=port
-    ) as listener:
-        await listener.serve(_answer)
 
+def unpack(data: bytes) -> object:
+    """Return the values in compressed CBOR.
 
-async def fetch(host: str, port: int) -> configuration.Configuration | None:
-    """Return a peer's configuration, or None where it gives none in time."""
-    data = b""
+    Raises
+    ------
+    ValueError
+        If there are none, or too many.
+    """
+    inflater = zlib.decompressobj()
     try:
-        with anyio.fail_after(FETCH_TIMEOUT):
-            async with await anyio.connect_tcp(host, port) as stream:
-                async for part in stream:
-                    data += part
-                    if len(data) > MOST_BYTES:
-                        return None
-        return decode(data) if data else None
-    except (OSError, TimeoutError, anyio.BrokenResourceError, ValueError):
-        return None
-
-
-def encode(current: configuration.Configuration) -> bytes:
-    """Return a configuration as CBOR."""
+        inflated = inflater.decompress(data, MOST_BYTES)
+        if not inflater.eof:
+            raise ValueError("not packed: cut short, or too long")
+        return cbor2.loads(inflated)
+    except (zlib.error, cbor2.CBORDecodeError, TypeError) as error:
+        raise ValueError(f"not packed: {error!r}") from error
+
+
+def encode(current: configuration.Configuration) -> list[object]:
+    """Return a configuration as plain values."""
     routes = [_pack_route(route) for route in current.routes]
     known = [
         [one.name, one.health_path, one.max_connections] for one in current.services
     ]
     limits = current.limits
-    return cbor2.dumps(
-        [
-            current.version,
-            routes,
-            known,
-            [
-                limits.max_head_bytes,
-                limits.max_body_bytes,
-                limits.head_timeout,
-                limits.idle_timeout,
-            ],
-        ]
-    )
+    bounds = [
+        limits.max_head_bytes,
+        limits.max_body_bytes,
+        limits.head_timeout,
+        limits.idle_timeout,
+    ]
+    return [current.version, routes, known, bounds]
 
 
-def decode(data: bytes) -> configuration.Configuration:
-    """Return the configuration in CBOR.
+def decode(fields: object) -> configuration.Configuration:
+    """Return the configuration in plain values.
 
     Raises
     ------
@@ -90,14 +61,14 @@
         If there is none.
     """
     try:
-        version, routes, known, limits = cbor2.loads(data)
+        version, routes, known, limits = fields  # type: ignore[misc]
         return configuration.Configuration(
             version,
             tuple(_unpack_route(route) for route in routes),
             tuple(configuration.ServiceSettings(*one) for one in known),
             configuration.Limits(*limits),
         )
-    except (cbor2.CBORDecodeError, TypeError, IndexError) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise ValueError(f"no configuration: {error!r}") from error
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_keeper.py
@@ -1,11 +1,14 @@
 """Keeps the configuration in force up to date, from the store and from peers.
 
-Each VM waits on the store by itself, since the configuration seldom changes and then
-must be in force everywhere within seconds.
+One VM waits on the store for all and pushes what it reads; the others call the store
+only where that VM says nothing, or says a version that did not reach them.
 """
 
 from __future__ import annotations
 
+import collections.abc
+import contextlib
+import dataclasses
 import random
 
 import anyio
@@ -13,35 +16,77 @@
 from zinniastand_core.deployment import configuration
 
 from . import (
-    configuration_exchange,
+    configuration_codec,
     datagrams,
     forwarder,
     log_lines,
     members,
     peer_link,
     ports,
+    reading_turn,
+    spreading,
+    start_turn,
     store_contact,
     target_record,
 )
 
 TOLD_OF_VERSION = 4
-"""VMs, drawn at random, that a VM tells of a new version. It is for those whose own
-wait has gone silent: nearly all hear of it so, and news tell the version too."""
+"""VMs, drawn at random, that a VM tells of a new version: for those that neither a push
+nor news reach. Nearly all hear of it so."""
 
 VERSION_PAUSE = 0.3
 """Least seconds between two waits for a configuration: while versions come in quick
-succession, each VM fetches some of them and not all. It stays far below the 2 s within
-which a version must be in force."""
+succession, some of them are read and not all. It stays far below the 2 s within which a
+version must be in force."""
 
-CONFIGURATION_WAIT = 25.0
+CONFIGURATION_WAIT = 1.5
 """Seconds that one read of the configuration waits at the store. Each costs a call; a
-wait on a connection that has gone silent is noticed only at its end, or by a peer."""
+wait on a connection that has gone silent is noticed only after it."""
+
+READ_SLACK = 0.5
+"""Seconds after the wait at which a read of the configuration is given up."""
+
+READ_LATELY = CONFIGURATION_WAIT + READ_SLACK + VERSION_PAUSE
+"""Seconds after a read of the configuration for which this VM may tell others that
+there is no newer version."""
+
+MOST_PUSHED = 16_384
+"""Bytes of a configuration that is pushed: sixty of them fill a slow VM's link for half
+a second. A larger one is read from the store by those who hear of its version."""
+
+PUSH_PATIENCE = 0.15
+"""Seconds that a VM which has heard of a version waits for it to be pushed."""
+
+STORE_PATIENCE = 0.4
+"""Seconds after which a VM that lacks a version asks the peer that told of it instead
+of the store, which may turn this VM away."""
 
 EMPTY_PAUSE = 0.2
 """Seconds between two reads of a store that holds no configuration yet."""
 
-PEER_PAUSE = 0.3
-"""Seconds that a VM waits for the store to tell a version that a peer has already."""
+CHECK_PAUSE = 0.1
+"""Seconds between two looks whether it is this VM's turn, and whether it lacks a
+version."""
+
+OPERATOR = "operator"
+"""Source of a configuration that was handed to this VM directly, in log lines."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where a configuration comes from, and when it may be asked for one."""
+
+    store: ports.ConfigurationSource
+    """Where operators publish it."""
+
+    turn: reading_turn.ReadingTurn
+    """Whether it is this VM's turn to read."""
+
+    start: start_turn.StartTurn
+    """Whether this VM may read while it knows nothing yet."""
+
+    fetch: collections.abc.Callable[[str], collections.abc.Awaitable[None]]
+    """Gets and takes in what another VM knows."""
 
 
 class ConfigurationKeeper:
@@ -49,14 +94,16 @@
 
     Parameters
     ----------
-    store : ports.ConfigurationSource
-        Where operators publish it.
+    source : Source
+        Where it comes from.
     knowledge : forwarder.Knowledge
         Where it is put in force.
     fleet : members.Members
         The VMs.
+    spreader : spreading.Spreader
+        Pushes what was read.
     link : peer_link.PeerLink
-        Datagrams to them.
+        Datagrams to other VMs.
     log : log_lines.LogLines
         New versions, and the store lost and regained.
     rng : random.Random
@@ -65,27 +112,41 @@
 
     def __init__(
         self,
-        store: ports.ConfigurationSource,
+        source: Source,
         knowledge: forwarder.Knowledge,
         fleet: members.Members,
+        spreader: spreading.Spreader,
         link: peer_link.PeerLink,
         log: log_lines.LogLines,
         rng: random.Random,
     ) -> None:
-        self._store = store
+        self._store = source.store
+        self._turn = source.turn
+        self._start = source.start
+        self._fetch = source.fetch
         self._knowledge = knowledge
         self._fleet = fleet
+        self._spreader = spreader
         self._link = link
         self._log = log
         self._rng = rng
         self._contact = store_contact.StoreContact("configuration", log, rng)
         self._wait_scope: anyio.CancelScope | None = None
-        self._peer_versions: dict[str, tuple[int, float]] = {}
+        self._told: dict[str, tuple[int, float]] = {}
+        self._read_at = -READ_LATELY
+
+    def has_read_lately(self, now: float) -> bool:
+        """Return whether this VM knows the newest version from the store itself."""
+        return now - self._read_at < READ_LATELY
 
     async def follow_store(self) -> None:
-        """Take what the store tells, until cancelled."""
+        """Read for all while it is this VM's turn, until cancelled."""
         position: int | None = None
         while True:
+            if not self._may_follow(anyio.current_time()):
+                position = None
+                await anyio.sleep(CHECK_PAUSE)
+                continue
             try:
                 page = await self._read(position)
             except ports.HistoryLostError:
@@ -95,44 +156,72 @@
                 await self._contact.pause_lost(error)
                 position = None
                 continue
-            self._contact.note_back()
             position = page.position
+            self._take_page(page)
             if page.newest is not None:
-                self.use(page.newest, target_record.STORE)
                 await anyio.sleep(VERSION_PAUSE)
             elif self._knowledge.configured.current is None:
                 await anyio.sleep(EMPTY_PAUSE)
 
-    async def follow_peers(self) -> None:
-        """Fetch a configuration that peers have and the store does not tell."""
+    async def read_now(self) -> None:
+        """Read the newest configuration, where nobody else tells it.
+
+        Raises
+        ------
+        ports.StoreUnavailableError
+            If the store gives no usable answer.
+        """
+        self._take_page(await self._read(None))
+
+    async def catch_up(self) -> None:
+        """Get versions that this VM was told of and that were not pushed to it."""
         while True:
-            await anyio.sleep(PEER_PAUSE)
-            version = self._knowledge.configured.version
-            now = anyio.current_time()
-            self._peer_versions = {
-                vm: (known, at)
-                for vm, (known, at) in self._peer_versions.items()
-                if known > version
-            }
-            for vm, (_, at) in list(self._peer_versions.items())[:1]:
-                member = self._fleet.find(vm)
-                if member is None or now - at < PEER_PAUSE:
-                    continue
-                del self._peer_versions[vm]
-                found = await configuration_exchange.fetch(member.host, member.port)
-                if found is not None:
-                    self.use(found, vm)
+            await anyio.sleep(CHECK_PAUSE)
+            vm = self._choose_holder(anyio.current_time())
+            if vm is None:
+                continue
+            version, _ = self._told.pop(vm)
+            if self._knowledge.configured.current is None:
+                await self._fetch(vm)
+                continue
+            with (
+                contextlib.suppress(ports.StoreUnavailableError),
+                anyio.move_on_after(STORE_PATIENCE),
+            ):
+                await self.read_now()
+            if self._knowledge.configured.version < version:
+                await self._fetch(vm)
 
     def take_version(self, vm: str, version: int) -> None:
         """Take in which version another VM has."""
         if version > self._knowledge.configured.version:
-            self._peer_versions.setdefault(vm, (version, anyio.current_time()))
+            self._told.setdefault(vm, (version, anyio.current_time()))
+
+    def take_published(self, published: datagrams.Published) -> None:
+        """Take in a configuration that the reader pushes.
+
+        Raises
+        ------
+        ValueError
+            If there is none in it.
+        """
+        if published.version <= self._knowledge.configured.version:
+            return
+        candidate = configuration_codec.decode(
+            configuration_codec.unpack(published.data)
+        )
+        # Passed on only once, and only after it was read: a broken one stops here.
+        self._spreader.pass_on(published)
+        self.use(candidate, published.vm)
 
     def use(self, candidate: configuration.Configuration, source: str) -> None:
         """Take a configuration, if it is newer than the one in force."""
+        is_first = self._knowledge.configured.current is None
         if not self._knowledge.configured.offer(candidate):
             return
-        self._tell_version()
+        if source in (target_record.STORE, OPERATOR):
+            self._push(candidate)
+        self._tell_version(to_all_near=is_first and source == target_record.STORE)
         self._knowledge.router.use(candidate)
         self._log.write(
             "configuration_in_force",
@@ -150,19 +239,53 @@
         if self._wait_scope is not None:
             self._wait_scope.cancel()
 
+    def _may_follow(self, now: float) -> bool:
+        if self._knowledge.configured.current is None:
+            return self._start.may_read(now)
+        return self._turn.is_reader(now)
+
     async def _read(self, position: int | None) -> ports.ConfigurationPage:
         """Wait for a new configuration; without a position, return the newest."""
-        if position is not None:
-            with anyio.CancelScope() as self._wait_scope:
-                return await self._store.wait_configuration(
-                    position, CONFIGURATION_WAIT
-                )
-        return await self._store.read_configuration()
-
-    def _tell_version(self) -> None:
-        """Tell some others of a new version, in case their wait has gone silent."""
+        if position is None:
+            return await self._store.read_configuration()
+        with anyio.move_on_after(CONFIGURATION_WAIT + READ_SLACK) as self._wait_scope:
+            return await self._store.wait_configuration(position, CONFIGURATION_WAIT)
+        raise ports.StoreUnavailableError("no answer in time")
+
+    def _take_page(self, page: ports.ConfigurationPage) -> None:
+        self._contact.note_back()
+        self._read_at = anyio.current_time()
+        if page.newest is not None:
+            self.use(page.newest, target_record.STORE)
+
+    def _choose_holder(self, now: float) -> str | None:
+        """Return a VM that has told of a version which does not come by itself."""
+        version = self._knowledge.configured.version
+        self._told = {
+            vm: (known, at) for vm, (known, at) in self._told.items() if known > version
+        }
+        due = [vm for vm, (_, at) in self._told.items() if now - at >= PUSH_PATIENCE]
+        return self._rng.choice(due) if due else None
+
+    def _push(self, current: configuration.Configuration) -> None:
+        now = anyio.current_time()
+        if not self._turn.is_first(now):
+            return  # Read in the reader's place; so may many others have done.
+        data = configuration_codec.pack(configuration_codec.encode(current))
+        if len(data) <= MOST_PUSHED:
+            vm = self._fleet.own.vm
+            self._spreader.tell(datagrams.Published(vm, current.version, data), now)
+
+    def _tell_version(self, to_all_near: bool) -> None:
+        """Tell some others of a new version, in case neither push nor news come.
+
+        Where this VM had none before, the others may lack it as well: it is the first
+        version of all, or the whole fleet has started anew.
+        """
         version = self._knowledge.configured.version
         notice = datagrams.VersionNotice(self._fleet.own.vm, version)
         others = self._fleet.list_others()
         drawn = self._rng.sample(others, min(TOLD_OF_VERSION, len(others)))
+        if to_all_near:
+            drawn = self._fleet.list_in(self._fleet.own.data_centre)
         self._link.send_many(notice, drawn)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -28,6 +28,9 @@
     wants_answer: bool
     """Whether the receiver shall say the same of itself."""
 
+    position: int = -1
+    """Up to where it knows the targets' entries; negative where it knows none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving:
@@ -40,6 +43,23 @@
     """Which start of it: a late word must not concern the next one."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resigned:
+    """A VM cannot do a task for all for a while, though it lives."""
+
+    vm: str
+    """The sender."""
+
+    incarnation: int
+    """Which start of it."""
+
+    task: str
+    """The task; empty for every task."""
+
+    until: float
+    """Until when, in the clock of whoever holds the message."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
     """What the reader of the store has read lately."""
@@ -63,6 +83,23 @@
     """Whether the receiver shall pass it on to the VMs of its data centre."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """A new configuration, from the VM that reads the store for all."""
+
+    vm: str
+    """The reader."""
+
+    version: int
+    """Its version."""
+
+    data: bytes
+    """The configuration; packed by `configuration_codec`."""
+
+    is_relayed: bool = False
+    """Whether the receiver shall pass it on to the VMs of its data centre."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionNotice:
     """A VM has a new configuration."""
@@ -133,7 +170,9 @@
 Message = (
     Hello
     | Leaving
+    | Resigned
     | News
+    | Published
     | VersionNotice
     | Opinions
     | Asked
@@ -181,13 +220,19 @@
 def _pack(message: Message, now: float) -> list[object]:
     match message:
         case Hello():
-            return ["h", message.wants_answer, *dataclasses.astuple(message.member)]
+            head = ["h", message.wants_answer, message.position]
+            return [*head, *dataclasses.astuple(message.member)]
         case Leaving():
             return ["l", message.vm, message.incarnation]
+        case Resigned():
+            left = message.until - now
+            return ["q", message.vm, message.incarnation, message.task, left]
         case News():
-            changes = [_pack_change(one, now) for one in message.changes]
+            changes = [pack_change(one, now) for one in message.changes]
             head = [message.vm, message.version, message.position, message.since]
             return ["n", *head, changes, message.is_relayed]
+        case Published():
+            return ["c", *dataclasses.astuple(message)]
         case VersionNotice():
             return ["v", message.vm, message.version]
         case Opinions():
@@ -216,13 +261,17 @@
     kind, rest = fields[0], fields[1:]
     match kind:
         case "h":
-            return Hello(ports.Member(*rest[1:]), bool(rest[0]))
+            return Hello(ports.Member(*rest[2:]), bool(rest[0]), rest[1])
         case "l":
             return Leaving(rest[0], rest[1])
+        case "q":
+            return Resigned(rest[0], rest[1], rest[2], now + rest[3])
         case "n":
-            changes = tuple(_unpack_change(one, now) for one in rest[4])
+            changes = tuple(unpack_change(one, now) for one in rest[4])
             vm, version, position, since = rest[:4]
             return News(vm, version, position, since, changes, bool(rest[5]))
+        case "c":
+            return Published(*rest)
         case "v":
             return VersionNotice(rest[0], rest[1])
         case "o":
@@ -304,7 +353,8 @@
     return tuple(value)
 
 
-def _pack_change(change: targets.Change, now: float) -> list[object]:
+def pack_change(change: targets.Change, now: float) -> list[object]:
+    """Return a change of a target as plain values."""
     if isinstance(change, targets.Gone):
         return [change.target_id, change.position]
     cold_left = max(0.0, change.cold_until - now)
@@ -322,7 +372,8 @@
     ]
 
 
-def _unpack_change(fields: list, now: float) -> targets.Change:
+def unpack_change(fields: list, now: float) -> targets.Change:
+    """Return the change of a target in plain values."""
     if len(fields) == 2:
         return targets.Gone(fields[0], fields[1])
     target_id, position, service, host, port, data_centre, slots = fields[:7]
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -17,12 +17,13 @@
 from .. import metrics
 from . import (
     calls,
-    configuration_exchange,
+    configuration_keeper,
     desk,
     edge_settings,
     fleet_talk,
     forwarder,
     http_server,
+    knowledge_exchange,
     knowledge_keeper,
     log_lines,
     members,
@@ -30,6 +31,7 @@
     peer_link,
     placement,
     ports,
+    resignation,
     stopping,
     supervision,
     target_client,
@@ -118,7 +120,7 @@
 
     def use_configuration(self, current: configuration.Configuration) -> None:
         """Take a configuration from elsewhere than the store, if it is newer."""
-        self._keeper.use(current, "operator")
+        self._keeper.use(current, configuration_keeper.OPERATOR)
 
     def find_dispatcher(self, service: str) -> str:
         """Return the VM that this one asks first for targets of a service."""
@@ -158,7 +160,10 @@
     ) -> None:
         """Run until stopped; started once the listeners are up."""
         self._build()
-        self._log.write("started", incarnation=self._fleet.own.incarnation)
+        own = self._fleet.own
+        self._log.write(
+            "started", incarnation=own.incarnation, data_centre=own.data_centre
+        )
         with contextlib.closing(self._link):
             await self._serve(task_status)
         for name, close in (
@@ -204,7 +209,7 @@
         """Return the tasks that run beside the requests, with their names."""
         return [
             ("receive datagrams", lambda: self._link.run(self._talk.receive)),
-            ("serve configuration", self._serve_configuration),
+            ("serve knowledge", self._serve_knowledge),
             ("keep knowledge", self._keeper.run),
             ("wake desk", self._wake_desk),
             ("tell opinions", self._talk.tell_opinions_regularly),
@@ -214,9 +219,10 @@
             ("follow settings", self._follow_settings),
         ]
 
-    async def _serve_configuration(self) -> None:
+    async def _serve_knowledge(self) -> None:
         peers = self._settings.peers
-        await configuration_exchange.serve(peers.host, peers.port, self._read_current)
+        take = self._keeper.take_snapshot
+        await knowledge_exchange.serve(peers.host, peers.port, take)
 
     def _build(self) -> None:
         own = self._build_fleet()
@@ -231,6 +237,7 @@
             self._log,
             self._use_targets,
             self._rng,
+            self._resignation,
         )
         hearers = fleet_talk.Hearers(self._desk, self._keeper, self._placement)
         self._talk = fleet_talk.FleetTalk(
@@ -263,6 +270,7 @@
             int(time.time() * MILLISECONDS),
         )
         self._fleet = members.Members(own, anyio.current_time())
+        self._resignation = resignation.Resignation(self._fleet, self._link, log)
         self._configured = configuration.ConfigurationState()
         self._registry = targets.Registry()
         self._desk = desk.Desk(
@@ -283,9 +291,6 @@
             pages.Page(self._answer_metrics), configuration.Limits, self._note_error
         )
 
-    def _read_current(self) -> configuration.Configuration | None:
-        return self._configured.current
-
     def _read_limits(self) -> configuration.Limits:
         current = self._configured.current
         return current.limits if current is not None else configuration.Limits()
@@ -337,8 +342,11 @@
 
     async def _wake_desk(self) -> None:
         while True:
-            await anyio.sleep(WAKE_PAUSE)
+            due_at = anyio.current_time() + WAKE_PAUSE
+            await anyio.sleep_until(due_at)
             now = anyio.current_time()
+            has_tasks = bool(self._desk.list_busy())
+            self._resignation.note_lateness(now - due_at, has_tasks)
             if self._registry.drop_lapsed(now):
                 self._desk.update_targets(now)
             self._desk.wake(now)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_entry.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_entry.py
@@ -4,7 +4,15 @@
 
 import anyio
 
-from . import datagrams, members, peer_link, ports, reading_turn, store_contact
+from . import (
+    datagrams,
+    members,
+    peer_link,
+    ports,
+    reading_turn,
+    start_turn,
+    store_contact,
+)
 
 
 class FleetEntry:
@@ -20,6 +28,8 @@
         Datagrams to them.
     turn : reading_turn.ReadingTurn
         Learns when this VM has entered.
+    start : start_turn.StartTurn
+        Learns the same.
     contact : store_contact.StoreContact
         Paces calls while the store is lost.
     """
@@ -30,12 +40,14 @@
         fleet: members.Members,
         link: peer_link.PeerLink,
         turn: reading_turn.ReadingTurn,
+        start: start_turn.StartTurn,
         contact: store_contact.StoreContact,
     ) -> None:
         self._directory = directory
         self._fleet = fleet
         self._link = link
         self._turn = turn
+        self._start = start
         self._contact = contact
 
     async def run(self) -> None:
@@ -60,4 +72,6 @@
         hello = datagrams.Hello(self._fleet.own, wants_answer=True)
         others = self._fleet.list_others()
         self._link.send_many(hello, others)
-        self._turn.join(anyio.current_time(), is_alone=not others)
+        now = anyio.current_time()
+        self._turn.join(now, is_alone=not others)
+        self._start.join(now, is_alone=not others)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -100,10 +100,16 @@
                 self._take_hello(message, now)
             case datagrams.Leaving():
                 self._fleet.note_leaving(message.vm, message.incarnation, now)
+            case datagrams.Resigned():
+                self._fleet.note_resigned(
+                    message.vm, message.incarnation, message.task, message.until, now
+                )
             case datagrams.News():
                 if self._fleet.is_direct(message.vm, message.is_relayed):
                     self._fleet.note_heard(message.vm, now)
                 self._hearers.keeper.take_news(message)
+            case datagrams.Published():
+                self._hearers.keeper.take_published(message)
             case datagrams.VersionNotice():
                 self._hearers.keeper.take_version(message.vm, message.version)
             case datagrams.Opinions():
@@ -122,6 +128,7 @@
         if self._fleet.add(hello.member):
             self._log.write("vm_joined", peer=hello.member.vm)
         self._fleet.note_heard(hello.member.vm, now)
+        self._hearers.keeper.take_position(hello.member.vm, hello.position)
         if hello.wants_answer:
             self._link.send(self._make_reply(), hello.member)
 
@@ -134,7 +141,8 @@
         own = self._fleet.own
         if self.is_leaving:
             return datagrams.Leaving(own.vm, own.incarnation)
-        return datagrams.Hello(own, wants_answer=False)
+        position = self._hearers.keeper.position
+        return datagrams.Hello(own, wants_answer=False, position=position)
 
     async def tell_opinions_regularly(self) -> None:
         """Tell opinions until cancelled."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -17,12 +17,17 @@
     datagrams,
     fleet_entry,
     forwarder,
+    knowledge_exchange,
     log_lines,
     members,
     news_teller,
     peer_link,
     ports,
     reading_turn,
+    resignation,
+    spreading,
+    start_fetcher,
+    start_turn,
     store_contact,
     target_reader,
     target_record,
@@ -48,6 +53,8 @@
         Called after the targets changed.
     rng : random.Random
         Spreads calls.
+    resign : resignation.Resignation
+        Leaves tasks to others.
     """
 
     def __init__(
@@ -59,27 +66,65 @@
         log: log_lines.LogLines,
         on_targets: collections.abc.Callable[[], None],
         rng: random.Random,
+        resign: resignation.Resignation,
     ) -> None:
         self._configured = knowledge.configured
-        self._configuration = configuration_keeper.ConfigurationKeeper(
-            store, knowledge, fleet, link, log, rng
-        )
+        self._registry = knowledge.registry
+        self._fleet = fleet
+        self._link = link
+        self._rng = rng
+        self._resignation = resign
+        self._spreader = spreading.Spreader(fleet, link)
         self._record = target_record.TargetRecord(knowledge.registry, log, on_targets)
+        self._starter = start_fetcher.StartFetcher(
+            fleet, lambda: self.is_complete, self._fetch_from, rng
+        )
+        self._build_followers(store, knowledge, log)
+
+    def _build_followers(
+        self,
+        store: ports.Store,
+        knowledge: forwarder.Knowledge,
+        log: log_lines.LogLines,
+    ) -> None:
+        """Build what reads the store, and what tells of it."""
+        fleet, link, rng = self._fleet, self._link, self._rng
         turn = reading_turn.ReadingTurn(fleet)
+        start = start_turn.StartTurn(fleet, anyio.current_time())
+        self._configuration = configuration_keeper.ConfigurationKeeper(
+            configuration_keeper.Source(store, turn, start, self._fetch_from),
+            knowledge,
+            fleet,
+            self._spreader,
+            link,
+            log,
+            rng,
+        )
         self._teller = news_teller.NewsTeller(
-            self._record, turn, knowledge.configured, fleet, link
+            self._record,
+            turn,
+            knowledge.configured,
+            self._spreader,
+            fleet.own.vm,
+            self._configuration.has_read_lately,
         )
         self._reader = target_reader.TargetReader(
-            store,
+            target_reader.Source(store, turn, start),
             self._record,
-            turn,
             self._teller,
             store_contact.StoreContact("targets", log, rng),
             log,
-            self._configuration.read_anew,
+            self._configuration,
+            self._resignation,
+            self._greet_near,
         )
         self._entry = fleet_entry.FleetEntry(
-            store, fleet, link, turn, store_contact.StoreContact("members", log, rng)
+            store,
+            fleet,
+            link,
+            turn,
+            start,
+            store_contact.StoreContact("members", log, rng),
         )
 
     @property
@@ -87,22 +132,52 @@
         """Whether enough is known to serve requests."""
         return self._configured.current is not None and self._record.is_complete
 
+    @property
+    def position(self) -> int:
+        """Up to where the targets are known; negative where none are."""
+        return self._record.position
+
+    def take_snapshot(self) -> knowledge_exchange.Snapshot:
+        """Return what this VM knows, for one that lacks it."""
+        return knowledge_exchange.Snapshot(
+            self._configured.current,
+            self._record.position,
+            self._record.heard_at,
+            tuple(self._registry.list_lasting()),
+        )
+
     async def run(self) -> None:
         """Read until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._configuration.follow_store)
             group.start_soon(self._reader.run)
             group.start_soon(self._teller.run)
-            group.start_soon(self._configuration.follow_peers)
+            group.start_soon(self._configuration.catch_up)
             group.start_soon(self._entry.run)
+            group.start_soon(self._starter.run)
 
     def take_news(self, news: datagrams.News) -> None:
         """Take in what another VM has read."""
         now = anyio.current_time()
-        self._teller.pass_on(news)
+        self._spreader.pass_on(news)
         self.take_version(news.vm, news.version)
         self._record.take_news(news, now)
 
+    def take_position(self, vm: str, position: int) -> None:
+        """Take in up to where another VM knows the targets."""
+        if position >= 0:
+            self._starter.note_holder(vm)
+
+    def take_published(self, published: datagrams.Published) -> None:
+        """Take in a configuration that another VM has read.
+
+        Raises
+        ------
+        ValueError
+            If there is none in it.
+        """
+        self._configuration.take_published(published)
+
     def take_version(self, vm: str, version: int) -> None:
         """Take in which version another VM has."""
         self._configuration.take_version(vm, version)
@@ -110,3 +185,22 @@
     def use(self, candidate: configuration.Configuration, source: str) -> None:
         """Take a configuration, if it is newer than the one in force."""
         self._configuration.use(candidate, source)
+
+    async def _fetch_from(self, vm: str) -> None:
+        """Take in what another VM knows and this one lacks."""
+        member = self._fleet.find(vm)
+        if member is None:
+            return
+        found = await knowledge_exchange.fetch(member.host, member.port)
+        if found is None:
+            return
+        if found.current is not None:
+            self.use(found.current, vm)
+        if not self._record.is_complete:
+            self._record.take_snapshot(found, anyio.current_time(), vm)
+
+    def _greet_near(self) -> None:
+        """Tell the VMs nearby, which may start as well, that this one knows all."""
+        own = self._fleet.own
+        hello = datagrams.Hello(own, wants_answer=False, position=self.position)
+        self._link.send_many(hello, self._fleet.list_in(own.data_centre))
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -25,6 +25,13 @@
 """Seconds for which a VM that gave no answer takes no tasks unless it is heard from. It
 is asked every second meanwhile, so a live one comes back at once."""
 
+MOST_RESIGNED = 4
+"""VMs that may have resigned from a task at the same time. More of them mean that
+nobody can do it, and that telling so is of no use. From all tasks, as slow VMs do, a
+quarter of a large fleet may."""
+
+LONGEST_RESIGNED = 10.0
+"""Seconds for which a VM may resign at most, whatever it says."""
 
 LEAVING_FOR = 60.0
 """Seconds for which the address of a leaving VM is kept: longer than any stop lasts."""
@@ -48,6 +55,7 @@
         self._heard_since: dict[str, float] = {own.vm: now}
         self._suspect_until: dict[str, float] = {}
         self._leaving_until: dict[str, float] = {}
+        self._resigned_until: dict[tuple[str, str], float] = {}
         self._ranks: dict[tuple[str, str], list[str]] = {}
 
     def add(self, member: ports.Member) -> bool:
@@ -100,6 +108,27 @@
         if known is not None and known.incarnation == incarnation:
             self._leaving_until[vm] = now + LEAVING_FOR
 
+    def note_resigned(
+        self, vm: str, incarnation: int, task: str, until: float, now: float
+    ) -> bool:
+        """Take in that a VM cannot do a task for a while; return whether that counts.
+
+        Where several cannot, the reason is likely common to all, and their order stays.
+        """
+        known = self._known.get(vm)
+        if known is None or known.incarnation != incarnation:
+            return False
+        self._resigned_until = {
+            key: at for key, at in self._resigned_until.items() if at > now
+        }
+        others = [one for one, of in self._resigned_until if of == task and one != vm]
+        most = MOST_RESIGNED if task else max(MOST_RESIGNED, self.count() // 4)
+        if len(others) >= most:
+            return False
+        until = min(until, now + LONGEST_RESIGNED)
+        self._resigned_until[vm, task] = until
+        return True
+
     def forget_gone(self, now: float) -> None:
         """Forget VMs that left long ago and have not come back."""
         for vm, until in list(self._leaving_until.items()):
@@ -155,10 +184,10 @@
         With a data centre, VMs there are taken where any is heard from.
         """
         if data_centre:
-            near = self._rank(self._order(task, data_centre), now, count)
+            near = self._rank(task, data_centre, now, count)
             if near:
                 return near
-        return self._rank(self._order(task, ""), now, count)
+        return self._rank(task, "", now, count)
 
     def list_in(self, data_centre: str) -> list[ports.Member]:
         """Return the other VMs of a data centre, suspects included."""
@@ -181,11 +210,11 @@
         """Data centres with a VM."""
         return {one.data_centre for one in self._known.values()}
 
-    def _rank(self, order: list[str], now: float, count: int) -> list[str]:
+    def _rank(self, task: str, data_centre: str, now: float, count: int) -> list[str]:
         heard: list[str] = []
         settled: list[str] = []
-        for vm in order:
-            if not self._is_heard(vm, now):
+        for vm in self._order(task, data_centre):
+            if not self._is_heard(vm, now) or self._has_resigned(vm, task, now):
                 continue
             if len(heard) < count:
                 heard.append(vm)
@@ -209,6 +238,11 @@
             self._ranks[task, data_centre] = order
         return order
 
+    def _has_resigned(self, vm: str, task: str, now: float) -> bool:
+        if not self._resigned_until:
+            return False
+        return any(self._resigned_until.get((vm, of), 0.0) > now for of in (task, ""))
+
     def _is_heard(self, vm: str, now: float) -> bool:
         return (
             vm in self._heard_since
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/news_teller.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/news_teller.py
@@ -1,19 +1,17 @@
 """Tells the other VMs what this one has read about the targets.
 
-Datagrams may be lost, so what is new is told several times. Other data centres hear
-through relays.
+Datagrams may be lost, so what is new is told several times.
 """
 
 from __future__ import annotations
 
-import collections
-import dataclasses
+import collections.abc
 
 import anyio
 
 from zinniastand_core.deployment import configuration
 
-from . import datagrams, members, peer_link, ports, reading_turn, target_record
+from . import datagrams, reading_turn, spreading, target_record
 
 CHECK_PAUSE = 0.1
 """Seconds between two looks whether it is time to tell."""
@@ -29,18 +27,9 @@
 REPEAT_FOR = 2.0
 """Seconds for which changes are told again, since datagrams may be lost."""
 
-RELAYS = 2
-"""VMs of another data centre that pass news on there, in turn: one telling goes to the
-one, the next to the other. Without them news to every VM make up most of what goes
-between data centres. Where one of the two is dead, the others hear every second
-telling, which is still within their patience."""
-
-RELAY_TASK = "relay news"
-"""Name of the task of passing news on."""
-
 
 class NewsTeller:
-    """Tells news while it is this VM's turn to read, and relays those of others.
+    """Tells news while it is this VM's turn to read.
 
     Parameters
     ----------
@@ -50,10 +39,13 @@
         Whether it is this VM's turn.
     configured : configuration.ConfigurationState
         Its version is told along.
-    fleet : members.Members
-        The VMs.
-    link : peer_link.PeerLink
-        Datagrams to them.
+    spreader : spreading.Spreader
+        Tells the others.
+    vm : str
+        Name of this VM.
+    has_configuration_read : callable
+        Returns whether the configuration was read from the store lately. News tell its
+        version, and those who hear them do not ask the store for it.
     """
 
     def __init__(
@@ -61,16 +53,16 @@
         record: target_record.TargetRecord,
         turn: reading_turn.ReadingTurn,
         configured: configuration.ConfigurationState,
-        fleet: members.Members,
-        link: peer_link.PeerLink,
+        spreader: spreading.Spreader,
+        vm: str,
+        has_configuration_read: collections.abc.Callable[[float], bool],
     ) -> None:
         self._record = record
         self._turn = turn
         self._configured = configured
-        self._fleet = fleet
-        self._link = link
-        self._reads: collections.deque[tuple[float, int]] = collections.deque()
-        self._tellings = 0
+        self._spreader = spreader
+        self._vm = vm
+        self._has_configuration_read = has_configuration_read
         self._told_at = 0.0
 
     async def run(self) -> None:
@@ -82,7 +74,8 @@
         while True:
             await anyio.sleep(CHECK_PAUSE)
             now = anyio.current_time()
-            if self.is_due(now) and now - self._record.read_at < STALE_AFTER:
+            is_fresh = now - self._record.read_at < STALE_AFTER
+            if is_fresh and self.is_due(now):
                 self.tell()
 
     def is_due(self, now: float) -> bool:
@@ -91,45 +84,19 @@
         A VM that has just become the reader tells at once, before all others who miss
         the former one read for themselves.
         """
-        return self._turn.is_first(now) and now - self._told_at >= TELL_PAUSE
+        if not self._turn.is_first(now) or not self._has_configuration_read(now):
+            return False
+        return now - self._told_at >= TELL_PAUSE
 
     def tell(self) -> None:
         """Tell what was read lately, in this data centre and to relays elsewhere."""
         now = self._told_at = anyio.current_time()
-        self._reads.append((now, self._record.position))
-        while self._reads[0][0] < now - REPEAT_FOR:
-            self._reads.popleft()
-        since_time, since = self._reads[0]
+        since, changes = self._record.list_since(now - REPEAT_FOR)
         news = datagrams.News(
-            self._fleet.own.vm,
+            self._vm,
             self._configured.version,
             self._record.position,
             since,
-            self._record.list_recent(since_time),
+            changes,
         )
-        self._link.send_many(news, self._fleet.list_in(self._own_place))
-        relayed = dataclasses.replace(news, is_relayed=True)
-        self._link.send_many(relayed, self._choose_relays(now))
-
-    def pass_on(self, news: datagrams.News) -> None:
-        """Tell news from another data centre in this one, if they are to be relayed."""
-        if news.is_relayed:
-            passed = dataclasses.replace(news, is_relayed=False)
-            self._link.send_many(passed, self._fleet.list_in(self._own_place))
-
-    def _choose_relays(self, now: float) -> list[ports.Member]:
-        """Return one VM of each other data centre, another one every time."""
-        self._tellings += 1
-        relays: list[ports.Member] = []
-        for place in self._fleet.data_centres - {self._own_place}:
-            ranked = self._fleet.rank(RELAY_TASK, now, RELAYS, place)
-            if not ranked:
-                continue  # All that are known are leaving or silent.
-            member = self._fleet.find(ranked[self._tellings % len(ranked)])
-            if member is not None and member.data_centre == place:
-                relays.append(member)
-        return relays
-
-    @property
-    def _own_place(self) -> str:
-        return self._fleet.own.data_centre
+        self._spreader.tell(news, now, relays=1)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/reading_turn.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/reading_turn.py
@@ -1,4 +1,4 @@
-"""Whose turn it is to read the targets' entries for all."""
+"""Whose turn it is to read the store for all."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 Before, it has heard of nobody and would take itself for the first in rank, as every
 other VM of a fleet that starts does."""
 
-READER_TASK = "read targets"
+READER_TASK = "read the store"
 """Name of the task of reading for all."""
 
 
@@ -47,6 +47,14 @@
         """Return whether this VM ranks first."""
         return self._rank(now) == 0
 
+    def is_reader(self, now: float) -> bool:
+        """Return whether this VM reads for all: it ranks first and has entered."""
+        return now >= self._joined_at and self.is_first(now)
+
+    def is_among_first(self, now: float) -> bool:
+        """Return whether this VM is one of those that would read next."""
+        return self._rank(now) <= MOST_STEPS
+
     def is_due(self, now: float, heard_at: float) -> bool:
         """Return whether to read, with the last news heard at that time."""
         rank = self._rank(now)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/store_contact.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/store_contact.py
@@ -39,14 +39,16 @@
         self._pause = FIRST_PAUSE
         self._is_lost = False
 
-    async def pause_lost(self, error: ports.StoreUnavailableError) -> None:
+    async def pause_lost(
+        self, error: ports.StoreUnavailableError, longest: float = LONGEST_PAUSE
+    ) -> None:
         """Take in that a call failed, and wait before the next one."""
         if not self._is_lost:
             self._is_lost = True
             why = str(error)[:MOST_WHY]
             self._log.write("store_lost", part=self._part, why=why)
         await anyio.sleep(self._pause * (0.5 + self._rng.random()))
-        self._pause = min(LONGEST_PAUSE, 2 * self._pause)
+        self._pause = min(longest, 2 * self._pause)
 
     def note_back(self) -> bool:
         """Take in that a call got through; return whether the store was lost."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_reader.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_reader.py
@@ -7,10 +7,21 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 
 import anyio
 
-from . import log_lines, news_teller, ports, reading_turn, store_contact, target_record
+from . import (
+    configuration_keeper,
+    log_lines,
+    news_teller,
+    ports,
+    reading_turn,
+    resignation,
+    start_turn,
+    store_contact,
+    target_record,
+)
 
 READ_WAIT = 0.4
 """Seconds that a read of the targets' entries waits at the store for a change. A target
@@ -25,70 +36,130 @@
 """Least seconds between two reads of the targets' entries, however often they change:
 bounds the calls where targets write with every heartbeat."""
 
+SPARE_PAUSE = 3.0
+"""Most seconds between calls to a store that does not answer, for a VM that is not
+among the first to read for all."""
+
 CHECK_PAUSE = 0.1
 """Seconds between two looks whether it is this VM's turn to read."""
 
+START_PAUSE = 0.02
+"""The same while nothing is known yet and no request can be served."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where the entries are read, and when."""
+
+    store: ports.TargetSource
+    """Where targets register themselves."""
+
+    turn: reading_turn.ReadingTurn
+    """Whether it is this VM's turn."""
+
+    start: start_turn.StartTurn
+    """Whether this VM may read while it knows nothing yet."""
+
 
 class TargetReader:
     """Reads the targets when it is this VM's turn, or when news stay away.
 
     Parameters
     ----------
-    store : ports.TargetSource
-        Where targets register themselves.
+    source : Source
+        Where and when the entries are read.
     record : target_record.TargetRecord
         Takes in what was read.
-    turn : reading_turn.ReadingTurn
-        Whether it is this VM's turn.
     teller : news_teller.NewsTeller
         Tells the others.
     contact : store_contact.StoreContact
         Paces calls while the store is lost.
     log : log_lines.LogLines
         History lost.
-    on_store_back : callable
-        Called when the store answers again after it was lost.
+    configuration : configuration_keeper.ConfigurationKeeper
+        Read along where this VM reads because it hears nothing, and read anew when the
+        store answers again after it was lost.
+    resignation : resignation.Resignation
+        Leaves the reading to others while this VM cannot reach the store.
+    on_complete : callable
+        Called when this VM has read all entries for the first time.
     """
 
     def __init__(
         self,
-        store: ports.TargetSource,
+        source: Source,
         record: target_record.TargetRecord,
-        turn: reading_turn.ReadingTurn,
         teller: news_teller.NewsTeller,
         contact: store_contact.StoreContact,
         log: log_lines.LogLines,
-        on_store_back: collections.abc.Callable[[], None],
+        configuration: configuration_keeper.ConfigurationKeeper,
+        resignation: resignation.Resignation,
+        on_complete: collections.abc.Callable[[], None],
     ) -> None:
-        self._store = store
+        self._store = source.store
+        self._turn = source.turn
+        self._start = source.start
         self._record = record
-        self._turn = turn
         self._teller = teller
         self._contact = contact
         self._log = log
-        self._on_store_back = on_store_back
+        self._configuration = configuration
+        self._resignation = resignation
+        self._on_complete = on_complete
 
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
             now = anyio.current_time()
-            if self._record.is_complete and not self._is_due(now):
-                await anyio.sleep(CHECK_PAUSE)
+            if not self._is_due(now):
+                pause = CHECK_PAUSE if self._record.is_complete else START_PAUSE
+                await anyio.sleep(pause)
                 continue
             try:
-                has_news = await self._read()
+                has_news = await self._read_as_due(now)
             except ports.StoreUnavailableError as error:
-                await self._contact.pause_lost(error)
+                await self._pause_lost(error, now)
                 continue
             if self._contact.note_back():
-                self._on_store_back()
+                self._configuration.read_anew()
             now = anyio.current_time()
             self._record.heard_at = self._record.read_at = now
             if has_news or self._teller.is_due(now):
                 self._teller.tell()
             await anyio.sleep(READ_PAUSE)
 
+    async def _pause_lost(self, error: ports.StoreUnavailableError, now: float) -> None:
+        """Leave reading for all to others, and wait before the next call.
+
+        Load pattern: the store is away for seconds. Hundreds of VMs that hear nothing
+        would each call it every second; the first few notice its return and tell.
+        """
+        if self._turn.is_reader(now):
+            self._resignation.resign(reading_turn.READER_TASK, "store unavailable")
+        is_next = self._turn.is_among_first(now)
+        longest = store_contact.LONGEST_PAUSE if is_next else SPARE_PAUSE
+        if not self._record.is_complete:
+            longest = store_contact.LONGEST_PAUSE
+        await self._contact.pause_lost(error, longest)
+
+    async def _read_as_due(self, now: float) -> bool:
+        """Read the targets; return whether anything has changed.
+
+        Where this VM reads because it hears nothing, it is not told of versions of the
+        configuration either.
+        """
+        was_complete = self._record.is_complete
+        is_silence = was_complete and not self._turn.is_reader(now)
+        has_news = await self._read()
+        if not was_complete:
+            self._on_complete()
+        if is_silence:
+            await self._configuration.read_now()
+        return has_news
+
     def _is_due(self, now: float) -> bool:
+        if not self._record.is_complete:
+            return self._start.may_read(now)
         return self._turn.is_due(now, self._record.heard_at)
 
     async def _read(self) -> bool:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
@@ -4,18 +4,37 @@
 
 import collections
 import collections.abc
+import dataclasses
 
 from zinniastand_core.deployment import targets
 
-from . import datagrams, log_lines, ports
+from . import datagrams, knowledge_exchange, log_lines, ports
 
 STORE = "store"
 """Source of what was read from the store, in log lines."""
 
+FRESH_FOR = 0.8
+"""Seconds since a peer last heard of the targets within which its knowledge is taken:
+one that hears nothing for longer reads the store itself."""
+
 KEEP_RECENT = 5.0
 """Seconds for which changes are kept for telling: longer than they are told again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Step:
+    """Where the record stood at some moment."""
+
+    at: float
+    """When it came to stand there."""
+
+    position: int
+    """Up to where the entries were known."""
+
+    noted: int
+    """Changes noted until then."""
+
+
 class TargetRecord:
     """Takes changes into the registry and keeps the recent ones for telling.
 
@@ -38,9 +57,11 @@
         self._registry = registry
         self._log = log
         self._on_targets = on_targets
-        self._recent: collections.deque[tuple[float, targets.Change]] = (
+        self._noted = 0
+        self._recent: collections.deque[tuple[int, targets.Change]] = (
             collections.deque()
         )
+        self._steps: collections.deque[_Step] = collections.deque([_Step(0.0, -1, 0)])
         self.position = -1
         self.heard_at = 0.0
         self.read_at = 0.0
@@ -56,35 +77,78 @@
             return  # Something between is missing: read it from the store.
         self.heard_at = now
         self.position = max(self.position, news.position)
-        self._note_changes(self._registry.apply(news.changes, now), now, news.vm)
+        self._note_changes(self._registry.apply(news.changes, now), news.vm)
+        self._step(now)
 
     def take_changes(self, page: ports.TargetPage, now: float) -> bool:
         """Take in what has changed at the store; return whether that is news."""
         self.position = page.position
         news = self._registry.apply(page.changes, now)
-        self._note_changes(news, now, STORE)
+        self._note_changes(news, STORE)
+        self._step(now)
         return bool(news)
 
     def take_all(self, page: ports.TargetPage, now: float) -> bool:
         """Take in all that the store holds; return whether that is news."""
         entries = [one for one in page.changes if isinstance(one, targets.Entry)]
         news = self._registry.replace(entries, page.position, now)
+        was_complete = self.is_complete
         self.position = page.position
-        self._note_changes(news, now, STORE)
+        self._note_changes(news, STORE)
+        if was_complete:
+            # What differs from the former listing is told like any change.
+            self._step(now)
+        else:
+            self._start_anew(now)
         return bool(news)
 
-    def list_recent(self, since: float) -> tuple[targets.Change, ...]:
-        """Return the changes taken in since then, of the last `KEEP_RECENT` seconds."""
-        return tuple(change for at, change in self._recent if at >= since)
-
-    def _note_changes(
-        self, news: list[targets.Change], now: float, source: str
-    ) -> None:
-        # Here and not when telling: a VM that never tells would keep them all.
-        while self._recent and self._recent[0][0] < now - KEEP_RECENT:
+    def take_snapshot(
+        self, snapshot: knowledge_exchange.Snapshot, now: float, vm: str
+    ) -> bool:
+        """Take in all that a peer knows, if it is up to date; return whether it was."""
+        if snapshot.position < 0 or now - snapshot.heard_at > FRESH_FOR:
+            return False
+        news = self._registry.replace(snapshot.entries, snapshot.position, now)
+        self.position = snapshot.position
+        self.heard_at = snapshot.heard_at
+        self._note_changes(news, vm)
+        self._start_anew(now)
+        return True
+
+    def list_since(self, since: float) -> tuple[int, tuple[targets.Change, ...]]:
+        """Return where this VM stood then, and the changes that it took in after that.
+
+        They are told from there on, whoever read them, so that a VM that has just
+        become the reader leaves no gap for those who heard the former one.
+        """
+        step = self._steps[0]
+        for one in self._steps:
+            if one.at > since:
+                break
+            step = one
+        changes = [change for number, change in self._recent if number > step.noted]
+        return step.position, tuple(changes)
+
+    def _step(self, now: float) -> None:
+        """Note where the record stands, and forget what is told no more.
+
+        Here and not when telling: a VM that never tells would keep it all.
+        """
+        self._steps.append(_Step(now, self.position, self._noted))
+        while len(self._steps) > 1 and self._steps[0].at < now - KEEP_RECENT:
+            self._steps.popleft()
+        while self._recent and self._recent[0][0] <= self._steps[0].noted:
             self._recent.popleft()
+
+    def _start_anew(self, now: float) -> None:
+        """Begin to tell from here on: a whole listing is not told again."""
+        self._steps.clear()
+        self._step(now)
+
+    def _note_changes(self, news: list[targets.Change], source: str) -> None:
         for change in news:
-            self._recent.append((now, change))
+            self._noted += 1
+            self._recent.append((self._noted, change))
             phase = "gone" if isinstance(change, targets.Gone) else change.phase.value
             self._log.write(
                 "target_changed",
--- /dev/null
+++ b/tests/edge/test_configuration_keeper.py
@@ -0,0 +1,158 @@
+"""A new configuration is in force everywhere within its bound, for few store calls."""
+
+from __future__ import annotations
+
+import anyio
+import edge_site
+import pytest
+
+from zinniastand_platform import decoding, encoding
+from zinniastand_proxy.edge import configuration_codec, configuration_keeper, ports
+
+pytestmark = pytest.mark.anyio
+
+BOUND = 2.0
+"""Seconds within which a version must be in force."""
+
+SETTLED = 4.0
+"""Seconds after which one VM reads the store for all."""
+
+
+async def start_settled(
+    site: edge_site.Site, places: str = "aaaabbbb"
+) -> list[edge_site.Vm]:
+    """Start a VM in each of the places, and wait until one reads for all."""
+    site.publish([edge_site.make_route("/old/")])
+    await site.start_target(edge_site.Target("t1"))
+    vms = [
+        await site.start_vm(f"vm-{n}", data_centre=place)
+        for n, place in enumerate(places)
+    ]
+    for vm in vms:
+        await edge_site.wait_ready(vm)
+    await anyio.sleep(SETTLED)
+    return vms
+
+
+def find_reader(vms: list[edge_site.Vm]) -> edge_site.Vm:
+    """Return the VM that read the targets last."""
+    lines = [
+        (line["time"], number)
+        for number, vm in enumerate(vms)
+        for line in vm.read_log()
+        if line["event"] == "store_call" and line["call"] == "follow targets"
+    ]
+    return vms[max(lines)[1]]
+
+
+def have_version(vms: list[edge_site.Vm], version: int) -> bool:
+    return all(
+        any(
+            line["event"] == "configuration_in_force"
+            and int(str(line["version"])) >= version
+            for line in vm.read_log()
+        )
+        for vm in vms
+    )
+
+
+async def wait_in_force(site: edge_site.Site, vms: list[edge_site.Vm]) -> None:
+    """Return once all have the newest version; fail after the bound."""
+    await edge_site.wait_until(lambda: have_version(vms, site.version), BOUND)
+
+
+async def test_new_version_costs_the_fleet_a_call_and_not_each_vm() -> None:
+    # Guards against store calls that grow with versions times VMs.
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        before = edge_site.count_store_calls(vms)
+        for number in range(3):
+            site.publish([edge_site.make_route(f"/new-{number}/")])
+            await wait_in_force(site, vms)
+            await anyio.sleep(0.5)
+        made = edge_site.count_store_calls(vms) - before
+        assert made["read configuration"] + made["follow configuration"] <= 8
+
+
+async def test_broken_record_costs_one_vm_a_call() -> None:
+    # Guards against a record that nobody can use being read by every VM.
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        words = edge_site.words
+        site.store.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, b"{cut")
+        await anyio.sleep(1.0)
+        refused = [
+            line
+            for vm in vms
+            for line in vm.read_log()
+            if line["event"] == "record_refused"
+        ]
+        assert len(refused) == 1
+
+
+async def test_version_is_in_force_in_time_though_the_reader_dies() -> None:
+    # Guards against a fleet that waits for a VM that is gone.
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        reader = find_reader(vms)
+        reader.daemon.kill()
+        site.publish([edge_site.make_route("/new/")])
+        await wait_in_force(site, [vm for vm in vms if vm is not reader])
+
+
+async def test_version_is_in_force_in_time_though_the_readers_wait_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a reader whose wait will never be answered while its other calls
+    # are: its news would keep everybody from asking.
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        store = find_reader(vms).daemon._store
+
+        async def hang(position: int, wait: float) -> None:
+            await anyio.sleep_forever()
+
+        monkeypatch.setattr(store, "wait_configuration", hang)
+        await anyio.sleep(configuration_keeper.CONFIGURATION_WAIT)
+        site.publish([edge_site.make_route("/new/")])
+        await anyio.sleep(configuration_keeper.READ_SLACK)
+        await wait_in_force(site, vms)
+
+
+async def test_version_that_does_not_fit_a_push_is_in_force_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(configuration_keeper, "MOST_PUSHED", 10)
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        site.publish([edge_site.make_route("/new/")])
+        await wait_in_force(site, vms)
+
+
+async def test_version_reaches_a_vm_that_the_store_turns_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Neither a push nor the store: a peer that has it is asked.
+    monkeypatch.setattr(configuration_keeper, "MOST_PUSHED", 10)
+    async with edge_site.run_site() as site:
+        vms = await start_settled(site)
+        reader = find_reader(vms)
+        store = next(vm for vm in vms if vm is not reader).daemon._store
+
+        async def refuse() -> None:
+            raise ports.StoreUnavailableError("turned away")
+
+        monkeypatch.setattr(store, "read_configuration", refuse)
+        site.publish([edge_site.make_route("/new/")])
+        await wait_in_force(site, vms)
+
+
+def test_packed_configuration_is_read_back_and_a_torn_one_is_refused() -> None:
+    current = decoding.decode_configuration(
+        encoding.encode_configuration(7, [edge_site.make_route()])
+    )
+    data = configuration_codec.pack(configuration_codec.encode(current))
+    assert configuration_codec.decode(configuration_codec.unpack(data)) == current
+    for end in range(len(data)):
+        with pytest.raises(ValueError, match="not packed"):
+            configuration_codec.unpack(data[:end])
--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -48,10 +48,14 @@
             site.register(target)
             await anyio.sleep(0.1)
         assert site.store.calls - before <= 10
-        before = site.store.calls
+        before = edge_site.count_store_calls(vms)
         await anyio.sleep(3.0)
-        # One reader makes five; each VM for itself would make ten or more besides.
-        assert site.store.calls - before <= 6
+        # One reader makes five; each VM for itself would make ten or more besides. It
+        # waits 1.5 s for a configuration.
+        made = edge_site.count_store_calls(vms) - before
+        assert made["follow targets"] <= 6
+        assert made["follow configuration"] <= 3
+        assert made.total() <= 8
         site.register(target, "draining")
         await anyio.sleep(1.0)
         answers = [await edge_site.call(vm) for vm in vms]
--- /dev/null
+++ b/tests/edge/test_resignation.py
@@ -0,0 +1,158 @@
+"""VMs that live but cannot do a task for all leave it to others."""
+
+from __future__ import annotations
+
+import os
+
+import anyio
+import edge_site
+import pytest
+
+from zinniastand_proxy.edge import (
+    datagrams,
+    log_lines,
+    members,
+    peer_link,
+    ports,
+    reading_turn,
+    resignation,
+    store_contact,
+    target_reader,
+)
+from zinniastand_standins import loopback, topic_store
+
+pytestmark = pytest.mark.anyio
+
+NAMES = tuple(f"vm-{n}" for n in range(6))
+SETTLED = members.SETTLE_TIME + 0.1
+
+
+def make_fleet() -> members.Members:
+    def make_member(name: str) -> ports.Member:
+        return ports.Member(name, "a", "127.0.0.1", 7660, 1)
+
+    fleet = members.Members(make_member("own"), 0.0)
+    for name in NAMES:
+        fleet.add(make_member(name))
+        fleet.note_heard(name, 0.0)
+    return fleet
+
+
+def resign(fleet: members.Members, vm: str, task: str, until: float) -> bool:
+    return fleet.note_resigned(vm, 1, task, until, SETTLED)
+
+
+def test_vm_that_resigned_stays_out_though_it_is_heard() -> None:
+    # Guards against asking a VM first, again and again, that only seems well.
+    fleet = make_fleet()
+    first = fleet.rank("desk", SETTLED, 1)[0]
+    assert resign(fleet, first, "desk", SETTLED + 3)
+    fleet.note_heard(first, SETTLED + 1)
+    assert fleet.rank("desk", SETTLED + 1, 1) != [first]
+    assert first in fleet.rank("other", SETTLED + 1, len(NAMES) + 1)
+    assert fleet.rank("desk", SETTLED + 3, 1) == [first]
+
+
+def test_slow_vm_does_none_of_the_tasks() -> None:
+    fleet = make_fleet()
+    assert resign(fleet, "vm-1", resignation.ALL_TASKS, SETTLED + 3)
+    for task in ("desk", "other", reading_turn.READER_TASK):
+        assert "vm-1" not in fleet.rank(task, SETTLED, len(NAMES) + 1)
+
+
+def test_not_all_can_resign_and_none_for_long() -> None:
+    # Guards against a fleet without anybody for a task, and a word that lasts forever.
+    fleet = make_fleet()
+    done = [resign(fleet, name, "desk", SETTLED + 1e9) for name in NAMES]
+    assert done.count(True) == members.MOST_RESIGNED
+    left = fleet.rank("desk", SETTLED, len(NAMES) + 1)
+    assert len(left) == len(NAMES) + 1 - members.MOST_RESIGNED
+    late = SETTLED + members.LONGEST_RESIGNED
+    assert len(fleet.rank("desk", late, len(NAMES) + 1)) == len(NAMES) + 1
+
+
+def test_late_word_of_a_former_start_does_not_count() -> None:
+    fleet = make_fleet()
+    assert not fleet.note_resigned("vm-1", 0, "desk", SETTLED + 3, SETTLED)
+
+
+def test_only_lasting_lateness_of_a_vm_with_tasks_counts() -> None:
+    fleet = make_fleet()
+    log = log_lines.LogLines("own", os.pipe()[1])
+    link = peer_link.PeerLink("127.0.0.1", loopback.find_free_port(), log)
+    own = resignation.Resignation(fleet, link, log)
+
+    async def play() -> None:
+        own.note_lateness(0.2, has_tasks=True)
+        assert link.sent == 0
+        for _ in range(10):
+            own.note_lateness(0.2, has_tasks=False)
+        assert link.sent == 0
+        for _ in range(10):
+            own.note_lateness(0.2, has_tasks=True)
+        assert link.sent == len(NAMES)
+
+    anyio.run(play)
+    link.close()
+
+
+def test_word_of_resigning_carries_what_is_left_of_it() -> None:
+    message = datagrams.Resigned("vm-1", 7, "desk", 13.0)
+    data = datagrams.encode(message, 10.0)
+    assert datagrams.decode(data, 100.0) == datagrams.Resigned("vm-1", 7, "desk", 103.0)
+
+
+async def test_reader_that_the_store_turns_away_leaves_reading_to_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a reader that is asked first again as soon as it greets, while
+    # all others read for themselves each time that its news stay away.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(8)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(3.0)
+        now = anyio.current_time()
+        fleet = vms[0].daemon._fleet
+        [reader] = fleet.rank(reading_turn.READER_TASK, now, 1)
+        [turned_away] = [vm for vm in vms if vm.settings.vm == reader]
+
+        async def refuse(*_: object) -> None:
+            raise ports.StoreUnavailableError("turned away")
+
+        for name in ("read_target_changes", "read_configuration", "read_targets"):
+            monkeypatch.setattr(turned_away.daemon._store, name, refuse)
+        await anyio.sleep(2.0)
+        before = edge_site.count_store_calls(vms)
+        await anyio.sleep(4.0)
+        made = edge_site.count_store_calls(vms) - before
+        assert made["follow targets"] <= 12
+        assert made["read configuration"] <= 6
+
+
+async def test_few_call_a_store_that_is_away_and_all_hear_of_its_return() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(12)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        await anyio.sleep(3.0)
+        site.store.fault = topic_store.Fault.BUSY
+        await anyio.sleep(2.0)
+        before = edge_site.count_store_calls(vms).total()
+        await anyio.sleep(4.0)
+        made = edge_site.count_store_calls(vms).total() - before
+        few = reading_turn.MOST_STEPS + 1
+        spare = len(vms) - few
+        # A call a second, half a second apart at times, by those who rank first.
+        each = 4.0 / store_contact.LONGEST_PAUSE * 2
+        seldom = 4.0 / target_reader.SPARE_PAUSE * 2
+        assert made <= few * each + spare * seldom
+        site.store.fault = topic_store.Fault.NONE
+        site.publish([edge_site.make_route("/new/")])
+        await anyio.sleep(2.0)
+        for vm in vms:
+            assert (await edge_site.call(vm, "/new/x")).status_code == 200
--- /dev/null
+++ b/tests/edge/test_start.py
@@ -0,0 +1,148 @@
+"""VMs that start get what they need from peers, and the store is asked by few."""
+
+from __future__ import annotations
+
+import os
+
+import anyio
+import edge_site
+import pytest
+
+from zinniastand_core.deployment import targets
+from zinniastand_proxy.edge import (
+    knowledge_exchange,
+    log_lines,
+    members,
+    ports,
+    start_turn,
+    target_record,
+)
+
+pytestmark = pytest.mark.anyio
+
+MOST_STEPS_TIME = start_turn.STEP * start_turn.MOST_STEPS
+
+
+def make_member(name: str) -> ports.Member:
+    return ports.Member(name, "a", "10.0.0.1", 7660, 1)
+
+
+def make_start(own: str, others: tuple[str, ...]) -> start_turn.StartTurn:
+    fleet = members.Members(make_member(own), 0.0)
+    for name in others:
+        fleet.add(make_member(name))
+        fleet.note_heard(name, 0.0)
+    start = start_turn.StartTurn(fleet, 0.0)
+    start.join(0.0, is_alone=not others)
+    return start
+
+
+def test_few_of_those_that_start_together_read_at_once() -> None:
+    names = tuple(f"vm-{n}" for n in range(30))
+    starts = [
+        make_start(own, tuple(name for name in names if name != own)) for own in names
+    ]
+    soon = start_turn.FIRST_PAUSE + 2.5 * start_turn.STEP
+    assert sum(start.may_read(0.0) for start in starts) == 0
+    assert sum(start.may_read(soon) for start in starts) == 3
+    latest = start_turn.FIRST_PAUSE + MOST_STEPS_TIME + 0.01
+    assert all(start.may_read(latest) for start in starts)
+
+
+def test_vm_that_is_alone_or_cannot_enter_reads_all_the_same() -> None:
+    assert make_start("own", ()).may_read(0.0)
+    fleet = members.Members(make_member("own"), 0.0)
+    start = start_turn.StartTurn(fleet, 0.0)
+    assert not start.may_read(start_turn.LONGEST - 0.1)
+    assert start.may_read(start_turn.LONGEST)
+
+
+async def test_joining_vm_asks_the_store_only_to_enter() -> None:
+    # Guards against store calls that grow with each start: rolling stops restart all.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        for number in range(3):
+            await edge_site.wait_ready(await site.start_vm(f"vm-{number}"))
+        await anyio.sleep(3.0)
+        joining = await site.start_vm("vm-9")
+        await edge_site.wait_ready(joining)
+        assert (await edge_site.call(joining)).status_code == 200
+        made = edge_site.count_store_calls([joining])
+        assert made == {"announce": 1, "read members": 1}
+
+
+async def test_fleet_that_starts_at_once_is_ready_soon_and_asks_the_store_little() -> (
+    None
+):
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(10)]
+        with anyio.fail_after(1.5):
+            for vm in vms:
+                await edge_site.wait_ready(vm)
+        made = edge_site.count_store_calls(vms)
+        assert made["read targets"] <= 5
+        assert made["read configuration"] <= 6
+
+
+async def test_first_configuration_of_a_fleet_reaches_all_without_a_call_each() -> None:
+    async with edge_site.run_site() as site:
+        await site.start_target(edge_site.Target("t1"))
+        vms = [await site.start_vm(f"vm-{n}") for n in range(10)]
+        await anyio.sleep(0.2)
+        site.publish([edge_site.make_route()])
+        with anyio.fail_after(2.0):
+            for vm in vms:
+                await edge_site.wait_ready(vm)
+        made = edge_site.count_store_calls(vms)
+        assert made["read configuration"] + made["follow configuration"] <= 14
+
+
+async def test_vm_starts_while_only_peers_can_be_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The store turns its readings away; a peer knows all that it needs.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        first = await site.start_vm("vm-0")
+        await edge_site.wait_ready(first)
+
+        async def refuse(*_: object) -> None:
+            raise ports.StoreUnavailableError("turned away")
+
+        platform_store = edge_site.store.PlatformStore
+        with monkeypatch.context() as patch:
+            patch.setattr(platform_store, "read_targets", refuse)
+            patch.setattr(platform_store, "read_configuration", refuse)
+            second = await site.start_vm("vm-1")
+            await edge_site.wait_ready(second)
+        assert (await edge_site.call(second)).status_code == 200
+
+
+def test_peer_that_has_heard_nothing_lately_is_not_believed() -> None:
+    # Guards against routing by what nobody has checked within its bound.
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = log_lines.LogLines("vm-1", writer)
+    record = target_record.TargetRecord(targets.Registry(), log, lambda: None)
+    old = knowledge_exchange.Snapshot(None, 5, -2 * target_record.FRESH_FOR, ())
+    assert not record.take_snapshot(old, 0.0, "vm-2")
+    assert not record.is_complete
+    unread = knowledge_exchange.Snapshot(None, -1, 0.0, ())
+    assert not record.take_snapshot(unread, 0.0, "vm-2")
+    fresh = knowledge_exchange.Snapshot(None, 5, -0.1, ())
+    assert record.take_snapshot(fresh, 0.0, "vm-2")
+    assert record.position == 5
+
+
+def test_snapshot_is_read_back_and_a_torn_one_is_refused() -> None:
+    snapshot = knowledge_exchange.Snapshot(None, 5, 9.5, ())
+    data = knowledge_exchange.encode(snapshot, 10.0)
+    found = knowledge_exchange.decode(data, 20.0)
+    assert (found.position, found.heard_at) == (5, 19.5)
+    for end in range(len(data)):
+        with pytest.raises(ValueError, match="no"):
+            knowledge_exchange.decode(data[:end], 20.0)
--- a/tests/edge/test_target_record.py
+++ b/tests/edge/test_target_record.py
@@ -74,7 +74,7 @@
     site = Site()
     site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
     site.record.take_changes(ports.TargetPage((make_entry("t2", 5),), 6), 2.0)
-    listed = site.record.list_recent(1.5)
+    _, listed = site.record.list_since(1.5)
     assert [change.target_id for change in listed] == ["t2"]
 
 
@@ -85,4 +85,24 @@
     site.record.take_all(ports.TargetPage((), 0), 0.0)
     for number in range(1, 200):
         site.record.take_news(make_news(number - 1, number, f"t{number}"), number * 1.0)
-    assert len(site.record.list_recent(0.0)) < 10
+    assert len(site.record.list_since(0.0)[1]) < 10
+
+
+def test_vm_that_becomes_the_reader_tells_from_where_the_former_one_stopped() -> None:
+    # Guards against a gap that makes every VM read the store at a change of reader.
+    site = Site()
+    site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
+    site.record.take_news(make_news(4, 9, "t2"), 2.0)
+    site.record.take_changes(ports.TargetPage((make_entry("t3", 9),), 10), 2.5)
+    since, changes = site.record.list_since(1.5)
+    assert since == 4
+    assert [one.target_id for one in changes] == ["t2", "t3"]
+    since, changes = site.record.list_since(2.2)
+    assert since == 9
+    assert [one.target_id for one in changes] == ["t3"]
+
+
+def test_whole_listing_is_not_told_again() -> None:
+    site = Site()
+    site.record.take_all(ports.TargetPage((make_entry("t1", 3),), 4), 1.0)
+    assert site.record.list_since(0.0) == (4, ())
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -240,6 +241,18 @@
             await anyio.sleep(0.01)
 
 
+def count_store_calls(
+    vms: collections.abc.Iterable[Vm],
+) -> collections.Counter[str]:
+    """Return how many calls to the store some VMs have made, by call."""
+    return collections.Counter(
+        str(line["call"])
+        for vm in vms
+        for line in vm.read_log()
+        if line["event"] == "store_call"
+    )
+
+
 async def wait_ready(vm: Vm) -> None:
     """Return once a VM says that it is ready."""
     address = vm.settings.readiness
