Notice suspensions that the steady clock does not count

What callers saw: after a VM stood still and woke, work was acknowledged late or twice, and a request hung for as long as the VM had been away. By reading: the steady clock stands still while a VM is suspended, so deadlines, the age of what is known, idle connections and slots in use all look as fresh as before. A second target was told 3 s where the caller had 1.5 s left; a caller whose time was over waited on; targets that had drained meanwhile got work until the next read.

A gap is taken from all deadlines, ages what was heard, ends waits at the store, retires idle connections and forgets slots given, since other VMs have placed those requests long ago.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/plan.py
@@ -156,6 +156,12 @@
         deadline_at = min(at, self.times.deadline_at)
         self.times = dataclasses.replace(self.times, deadline_at=deadline_at)
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time."""
+        self.times = Times(
+            self.times.objective_at - seconds, self.times.deadline_at - seconds
+        )
+
     def start_attempt(self, target_id: str) -> None:
         """Take in that the request goes to a target."""
         self._attempts += 1
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/configuration_keeper.py
@@ -139,6 +139,11 @@
         """Return whether this VM knows the newest version from the store itself."""
         return now - self._read_at < READ_LATELY
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time."""
+        self._read_at -= seconds
+        self.read_anew()
+
     async def follow_store(self) -> None:
         """Read for all while it is this VM's turn, until cancelled."""
         position: int | None = None
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -155,6 +155,16 @@
         for shard, known in self._dispatchers.items():
             self._send(known.update_targets(self._list_targets(shard, now), now))
 
+    def forget(self) -> None:
+        """Forget all slots, waits and beliefs, as a process that starts does.
+
+        After a suspension other VMs have long placed these requests.
+        """
+        self._dispatchers.clear()
+        self._windows.clear()
+        self._askers.clear()
+        self._heard.clear()
+
     def wake(self, now: float) -> None:
         """Act on the time."""
         for known in self._dispatchers.values():
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -34,6 +34,7 @@
     resignation,
     stopping,
     supervision,
+    suspension,
     target_client,
     vocabulary,
 )
@@ -244,6 +245,7 @@
             self._fleet, self._link, hearers, self._log, self._note_fault
         )
         self._client = target_client.TargetClient(self._words)
+        self._suspension = suspension.SuspensionWatch(self._take_suspension)
         tools = forwarder.Tools(
             knowledge,
             self._placement,
@@ -251,6 +253,7 @@
             self._words,
             self._log,
             self.metrics,
+            self._suspension.check,
         )
         self._forwarder = forwarder.Forwarder(
             tools, own.vm, own.data_centre, own.incarnation
@@ -322,6 +325,15 @@
         body = self.metrics.format_text().encode()
         return calls.Reply(200, [(b"content-type", b"text/plain")], body)
 
+    def _take_suspension(self, seconds: float) -> None:
+        """Take in that this VM stood still for longer than its clock says."""
+        self._log.write("suspended", seconds=round(seconds, 3))
+        self._forwarder.lose_time(seconds)
+        self._keeper.lose_time(seconds)
+        self._client.distrust_idle()
+        self._desk.forget()
+        self._fleet.start_anew(anyio.current_time())
+
     def _use_targets(self) -> None:
         self._desk.update_targets(anyio.current_time())
 
@@ -344,6 +356,7 @@
         while True:
             due_at = anyio.current_time() + WAKE_PAUSE
             await anyio.sleep_until(due_at)
+            self._suspension.check()
             now = anyio.current_time()
             has_tasks = bool(self._desk.list_busy())
             self._resignation.note_lateness(now - due_at, has_tasks)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import itertools
 import math
@@ -67,6 +68,9 @@
     metrics: metrics.Metrics
     """Counts and latencies."""
 
+    check_time: collections.abc.Callable[[], None]
+    """Notices a suspension of this VM."""
+
 
 class Forwarder:
     """Handles the requests of callers.
@@ -105,6 +109,7 @@
             self._notes,
             tools.words,
             self._make_ticket,
+            tools.check_time,
         )
 
     async def handle(self, incoming: calls.Incoming) -> calls.Reply:
@@ -145,6 +150,12 @@
         for run in self._runs:
             run.end_by(at)
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time."""
+        self._ends_at -= seconds
+        for run in self._runs:
+            run.lose_time(seconds)
+
     def _is_too_late(self, route: configuration.Route) -> bool:
         """Return whether the process ends too soon for a new request.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -156,6 +156,12 @@
             group.start_soon(self._entry.run)
             group.start_soon(self._starter.run)
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time."""
+        self._record.lose_time(seconds)
+        self._configuration.lose_time(seconds)
+        self._reader.read_anew()
+
     def take_news(self, news: datagrams.News) -> None:
         """Take in what another VM has read."""
         now = anyio.current_time()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -90,6 +90,10 @@
             self._heard_since.setdefault(vm, now)
             self._suspect_until.pop(vm, None)
 
+    def start_anew(self, now: float) -> None:
+        """Take in that this VM was away: it knows no better than one that starts."""
+        self._heard_since[self.own.vm] = now
+
     def suspect(self, vm: str, now: float) -> bool:
         """Take in that a VM gave no answer; return whether that is news."""
         if vm == self.own.vm or vm not in self._known:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -100,6 +100,9 @@
     make_ticket: collections.abc.Callable[[], str]
     """Returns a name for an ask that is unique over the fleet."""
 
+    check_time: collections.abc.Callable[[], None]
+    """Notices a suspension, and takes its time from all runs."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Place:
@@ -169,6 +172,11 @@
             self._plan.end_by(at)
             self._scope.deadline = at
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time: less is left."""
+        self._plan.lose_time(seconds)
+        self._scope.deadline = self._plan.times.deadline_at
+
     def _may_cancel(self) -> bool:
         """Return whether to stop when the caller has left.
 
@@ -185,11 +193,13 @@
         return step
 
     async def _try_once(self) -> plan.Step:
+        self._parts.check_time()
         if self._incoming.caller.has_left and self._may_cancel():
             return self._plan.give_up()
         place = await self._acquire()
         if place is None:
             return self._plan.give_up()
+        self._parts.check_time()
         target = self._parts.registry.find_usable(place.grant.target_id)
         self._plan.start_attempt(place.grant.target_id)
         if target is None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -192,6 +192,12 @@
             if idle and idle[-1].may_carry(work, now)
         ]
 
+    def distrust_idle(self) -> None:
+        """Let nothing use the idle connections any more: this VM was away."""
+        for idle in self._idle.values():
+            for index, connection in enumerate(idle):
+                idle[index] = dataclasses.replace(connection, idle_until=0.0)
+
     async def close_idle(self, now: float) -> None:
         """Close connections that nothing may use any more."""
         for target_id, idle in list(self._idle.items()):
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_reader.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_reader.py
@@ -106,6 +106,14 @@
         self._configuration = configuration
         self._resignation = resignation
         self._on_complete = on_complete
+        self._wait_scope: anyio.CancelScope | None = None
+        self._is_read_anew = False
+
+    def read_anew(self) -> None:
+        """End the wait at the store, if there is one, and read at once."""
+        if self._wait_scope is not None:
+            self._is_read_anew = True
+            self._wait_scope.cancel()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -178,10 +186,15 @@
 
     async def _read_changes(self) -> ports.TargetPage:
         wait = READ_WAIT if self._turn.is_first(anyio.current_time()) else 0.0
-        try:
-            with anyio.fail_after(wait + READ_SLACK):
-                return await self._store.read_target_changes(
-                    self._record.position, wait
-                )
-        except TimeoutError as error:
-            raise ports.StoreUnavailableError("no answer in time") from error
+        while True:
+            try:
+                with anyio.move_on_after(wait + READ_SLACK) as self._wait_scope:
+                    return await self._store.read_target_changes(
+                        self._record.position, wait
+                    )
+            finally:
+                self._wait_scope = None
+            if not self._is_read_anew:
+                raise ports.StoreUnavailableError("no answer in time")
+            self._is_read_anew = False
+            wait = 0.0
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_record.py
@@ -115,6 +115,11 @@
         self._start_anew(now)
         return True
 
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time: all is older."""
+        self.heard_at -= seconds
+        self.read_at -= seconds
+
     def list_since(self, since: float) -> tuple[int, tuple[targets.Change, ...]]:
         """Return where this VM stood then, and the changes that it took in after that.
 
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -167,6 +167,7 @@
         notes,
         words.HEADERS,
         lambda: "ticket",
+        lambda: None,
     )
 
 
