Call the store where new settings say that it is

What callers would see: after a settings file changes, VMs that run follow the old store until their next start, VMs that start follow the new one, and their answers differ. Cause: of the settings only the bounds of retries and of a stop came into force in a running process. Test: a store that has moved, with the old one served on and stale; the new version was not in force before.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -52,7 +52,7 @@
 SETTINGS_PAUSE = 1.0
 """Seconds between two looks whether the settings have changed without a signal."""
 
-CHANGEABLE = frozenset({"retries", "stop_limit", "unready_after"})
+CHANGEABLE = frozenset({"retries", "stop_limit", "store", "unready_after"})
 """Settings that a running process can change."""
 
 MILLISECONDS = 1000
@@ -131,9 +131,10 @@
     def reload(self) -> None:
         """Read the settings anew and use what can change in a running process.
 
-        That is the bounds of retries and of a stop. Names and addresses are those of
-        the listeners and of the record that other VMs know, and wait for the next
-        start. Settings with findings are refused whole: the former ones stay in force.
+        That is the bounds of retries and of a stop, and where the store is. Names and
+        the other addresses are those of the listeners and of the record that other VMs
+        know, and wait for the next start. Settings with findings are refused whole: the
+        former ones stay in force.
         """
         supervision.attempt("reload", self._take_settings, self._note_fault)
 
@@ -153,6 +154,7 @@
         ]
         self._settings = fresh
         self._desk.use_budget(fresh.retries)
+        self._store.use_address(fresh.store.host, fresh.store.port)
         waiting = [name for name in changed if name not in CHANGEABLE]
         self._log.write("reload", outcome="in force", changed=changed, waiting=waiting)
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -102,6 +102,10 @@
 class Store(ConfigurationSource, TargetSource, MemberDirectory, typing.Protocol):
     """All that the platform keeps for the fleet."""
 
+    def use_address(self, host: str, port: int) -> None:
+        """Make calls there from now on."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import pathlib
 
 import anyio
@@ -279,6 +280,34 @@
         )
 
 
+async def test_store_that_has_moved_is_called_where_it_is(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against VMs that follow the old settings until their next start: they
+    # would keep the last configuration of a store that nobody writes to any more.
+    path = tmp_path / "settings.json"
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        vm = await site.start_vm("vm-1", path)
+        await edge_site.wait_ready(vm)
+        former = site.store_port
+        # It has moved with all that it holds; the old one is served on, and stale.
+        site.store = copy.deepcopy(site.store)
+        await site.start_store()
+        text = path.read_text()
+        path.write_text(text.replace(f":{former}", f":{site.store_port}"))
+        vm.daemon.reload()
+        site.publish([edge_site.make_route("/new/")])
+        await edge_site.wait_until(
+            lambda: any(
+                line["event"] == "configuration_in_force" and line["version"] == 2
+                for line in vm.read_log()
+            )
+        )
+        assert (await edge_site.call(vm, "/new/x")).status_code == 200
+
+
 async def test_settings_with_findings_are_refused_whole(
     tmp_path: pathlib.Path,
 ) -> None:
