--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -11,38 +11,26 @@
 and work that waits behind a target that turns bad is lost with it. Rank is by priority,
 then by arrival.
 
-Refusing. Load pattern: a burst, or half of the targets lost. A request whose turn would
-come too late is refused on arrival, because a later refusal costs its caller the wait
-and frees nothing. The queue is bounded by time, not by length.
+Refusing. A request whose turn would come too late is refused on arrival, because a
+later refusal costs its caller the wait and frees nothing; see `waiting`.
 """
 
 from __future__ import annotations
 
-import bisect
 import collections.abc
 import dataclasses
 import random
 
 from ..deployment import targets
-from . import mechanisms, messages, pool, retry_window, service_level, work_times
-
-WAIT_SHARE = 0.5
-"""Share of the time between a request's objective and its deadline that its wait may
-take from it while the queue is short-lived: a burst is served late rather than not."""
-
-WORK_MARGIN = 2.0
-"""Times the mean time of work that a standing queue must leave until the objective:
-five of six pieces of work end within it. In a standing queue everybody waits as long as
-it allows: with room for one mean time, hardly any answer would be in time."""
-
-STANDING_AFTER = 1.0
-"""Seconds from which a queue that makes answers late counts as standing. A standing
-queue serves nobody more, since the targets are busy anyway (Nichols and Jacobson, 2012,
-"Controlling queue delay")."""
-
-LEAST_PATIENCE = 0.05
-"""Least seconds that a request may wait, where its objective is close to the time of
-its work."""
+from . import (
+    mechanisms,
+    messages,
+    pool,
+    retry_window,
+    service_level,
+    waiting,
+    work_times,
+)
 
 TICKET_GRACE = 0.3
 """Seconds after a request's deadline at which its slot is taken back when no report has
@@ -58,17 +46,10 @@
 """Seconds of work in the queue up to which a second attempt goes one rank up: ten
 requests of 0.2 s before 35 proven slots."""
 
-OUTWAIT = 0.25
-"""Share of the time until its objective for which idempotent work waits for a proved
-target instead of trying a failing one."""
-
 LEAST_WORK = 0.5
 """Times the mean time of work below which a waiting request is refused before its
 deadline: hardly any work ends sooner, and its caller may still come back in time."""
 
-LEAST_SLOTS = 0.5
-"""Slots that a shard without any proven one counts for, as a divisor."""
-
 SLOW_AFTER = 2.5
 """Times the expected time after which work under way tells that its target is slow."""
 
@@ -83,16 +64,6 @@
     expected: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class _Waiting:
-    """A request in the queue; the order is that of the queue."""
-
-    priority: int
-    arrived_at: float
-    ticket: str
-    ask: messages.Ask = dataclasses.field(compare=False)
-
-
 class Dispatcher:
     """The dispatcher of one shard.
 
@@ -121,14 +92,13 @@
         self._retries = retries
         self._rng = rng
         self._grants: dict[str, _Grant] = {}
-        self._queue: list[_Waiting] = []
-        self._standing_at: float | None = None
+        self._line = waiting.WaitingLine(self.pool, kinds, policy)
         self._level = service_level.ServiceLevel()
 
     @property
     def queue_length(self) -> int:
         """Requests that wait."""
-        return len(self._queue)
+        return len(self._line)
 
     @property
     def in_flight(self) -> int:
@@ -147,25 +117,19 @@
         granted = self._grants.get(ask.ticket)
         if granted is not None:
             return [self._repeat(granted, now)]
-        if any(one.ticket == ask.ticket for one in self._queue):
+        if self._line.holds(ask.ticket):
             return [messages.Wait(ask.ticket)]
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
         if ask.attempt > 1 and not self._retries.spend(now):
             return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
-        waiting = _Waiting(self._find_rank(ask, now), now, ask.ticket, ask)
-        wait = self._find_wait(waiting, now)
-        if wait <= 0 or self.pool.has_free(now):
-            # A free slot, if only of a target in doubt, will take work from the queue
-            # before it makes answers late.
-            self._standing_at = None
-        if wait > 0 and not self._may_wait(ask, wait, now):
-            self._take_back(waiting)
+        entry = waiting.Waiting(self._find_rank(ask, now), now, ask.ticket, ask)
+        if not self._line.enter(entry, now):
+            self._take_back(entry)
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
         if ask.attempt == 1:
             # One that is refused here may be placed, and counted, in another shard.
             self._retries.add_first(now)
-        bisect.insort(self._queue, waiting)
         decisions = self._serve_queue(now)
         if any(one.ticket == ask.ticket for one in decisions):
             return decisions
@@ -177,10 +141,9 @@
         An ask that still waits is forgotten: its caller has left or was answered.
         """
         granted = self._grants.pop(report.ticket, None)
-        if granted is None:
-            for waiting in [one for one in self._queue if one.ticket == report.ticket]:
-                self._queue.remove(waiting)
-                self._take_back(waiting)
+        withdrawn = self._line.remove(report.ticket) if granted is None else None
+        if withdrawn is not None:
+            self._take_back(withdrawn)
         target_id = granted.target_id if granted is not None else report.target_id
         state = self.pool.find(target_id)
         if state is not None:
@@ -215,32 +178,32 @@
         wait, each event would otherwise cost a hundred searches over all targets.
         """
         decisions: list[messages.Decision] = []
-        left: list[_Waiting] = []
+        left: list[waiting.Waiting] = []
         without: set[tuple[str, bool]] = set()
-        has_free = bool(self._queue) and self.pool.has_free(now)
-        for waiting in self._queue:
-            ask = waiting.ask
+        has_free = len(self._line) > 0 and self.pool.has_free(now)
+        for one in self._line:
+            ask = one.ask
             group = (ask.kind, ask.may_retry)
             decision: messages.Decision | None = None
             least = LEAST_WORK * self._kinds.find_mean(ask.kind)
             if now + least >= ask.deadline_at:
-                self._take_back(waiting)
+                self._take_back(one)
                 decision = self._refuse(ask, messages.RefusalReason.TOO_LATE, now)
             elif has_free and (group not in without or ask.excluded):
-                decision = self._place(waiting, now)
+                decision = self._place(one, now)
             if decision is None:
                 without.add(group)
-                left.append(waiting)
+                left.append(one)
             else:
                 decisions.append(decision)
-        self._queue = left
+        self._line.keep(left)
         return decisions
 
-    def _place(self, waiting: _Waiting, now: float) -> messages.Decision | None:
-        ask = waiting.ask
+    def _place(self, one: waiting.Waiting, now: float) -> messages.Decision | None:
+        ask = one.ask
         ease = self._find_ease(now)
         offer = self.pool.find_best(ask, ease, now, self._level.find_unserved(now))
-        if offer is None or self._is_better_late(waiting, offer, now):
+        if offer is None or self._line.is_better_late(one, offer, ease, now):
             return None
         state = self.pool.find(offer.target_id)
         if state is None:
@@ -256,47 +219,6 @@
             self._find_pressure(now),
         )
 
-    def _is_better_late(self, waiting: _Waiting, offer: pool.Offer, now: float) -> bool:
-        """Return whether to wait for a better target than the best free one.
-
-        A failed request is lost; one that waits is at worst late. While proven targets
-        are busy, their next free slot is a fraction of the time of one piece of work
-        away. Load pattern: half of the slots belong to failing targets, which are free
-        since they answer at once.
-        """
-        ask = waiting.ask
-        if offer.doubt <= pool.DOUBT_LIMIT or not self._policy.patience:
-            return False
-        ease = self._find_ease(now)
-        if ask.may_retry and ease > 0.0:
-            is_useful = offer.is_trial and ease >= 1.0
-            return not is_useful and self._may_outwait(waiting, now)
-        proved = self.pool.count_proved_slots(now)
-        if not proved:
-            return False
-        mean = self._kinds.find_mean(ask.kind)
-        ahead = sum(1 for one in self._queue if one.priority <= ask.priority)
-        # Only while the answer can still be in time. Waiting on until the deadline
-        # keeps the queue as long as that, and makes every answer late.
-        return now + mean + mean * max(1, ahead) / proved < ask.objective_at
-
-    def _may_outwait(self, waiting: _Waiting, now: float) -> bool:
-        """Return whether idempotent work waits a little for a proved target.
-
-        Sent to a failing one it would need a retry, and the wait for a proved slot is
-        often a fraction of the time until the objective. Behind a long queue it does
-        not wait: work of a higher rank would keep it from any target.
-        """
-        ask = waiting.ask
-        if not self.pool.count_proved_slots(now):
-            return False
-        if now - waiting.arrived_at > OUTWAIT * (ask.objective_at - waiting.arrived_at):
-            return False
-        ahead = [one for one in self._queue if one.priority <= ask.priority]
-        work = sum(self._kinds.find_mean(one.ask.kind) for one in ahead)
-        capacity = max(LEAST_SLOTS, self.pool.find_capacity(now))
-        return work / capacity < OUTWAIT * (ask.objective_at - now)
-
     def _find_ease(self, now: float) -> float:
         """Return how freely retries may be spent, from 0 for none to 1."""
         ease = self._retries.find_ease(now)
@@ -352,37 +274,12 @@
             state.note_slowness(took / mean, now)
         self._kinds.add(kind, took / max(1.0, slowness))
 
-    def _find_wait(self, waiting: _Waiting, now: float) -> float:
-        """Return how long a request would wait for its turn."""
-        capacity = self.pool.find_capacity(now)
-        if capacity <= 0:
-            return 0.0
-        if not self._queue and self.pool.has_free(now):
-            return 0.0
-        ahead = self._queue[: bisect.bisect_left(self._queue, waiting)]
-        work = sum(self._kinds.find_mean(one.ask.kind) for one in ahead)
-        return (work + self._kinds.find_mean(waiting.ask.kind)) / capacity
-
-    def _may_wait(self, ask: messages.Ask, wait: float, now: float) -> bool:
-        """Return whether a request may wait that long for its turn."""
-        mean = self._kinds.find_mean(ask.kind)
-        left = ask.objective_at - now
-        short = max(LEAST_PATIENCE, left - WORK_MARGIN * mean)
-        if wait <= short:
-            return True
-        if self._standing_at is None:
-            self._standing_at = now + STANDING_AFTER
-        if now >= self._standing_at and self._policy.short_queue:
-            return False
-        beyond = max(0.0, ask.deadline_at - ask.objective_at)
-        return wait <= left + WAIT_SHARE * beyond - mean
-
     def _refuse(
         self, ask: messages.Ask, reason: messages.RefusalReason, now: float
     ) -> messages.Refuse:
         """Refuse, and spread the returns over the time that the queue needs."""
         self._level.add(is_served=False, now=now)
-        pause = max(RETURN_PAUSE, self._find_backlog(now))
+        pause = max(RETURN_PAUSE, self._line.find_backlog(now))
         return messages.Refuse(
             ask.ticket,
             reason,
@@ -390,14 +287,14 @@
             self._find_pressure(now),
         )
 
-    def _take_back(self, waiting: _Waiting) -> None:
+    def _take_back(self, one: waiting.Waiting) -> None:
         """Give back the retry of a request that gets no target.
 
         Load pattern: targets turn work away, and more second attempts are asked for
         than may be sent. Those that are refused would use up what others may have.
         """
-        if waiting.ask.attempt > 1:
-            self._retries.refund(waiting.arrived_at)
+        if one.ask.attempt > 1:
+            self._retries.refund(one.arrived_at)
 
     def _find_rank(self, ask: messages.Ask, now: float) -> int:
         """Return the rank of a request in the queue.
@@ -408,15 +305,10 @@
         long queue it keeps its rank, or it would crowd out work that may run only once.
         """
         goes_up = ask.attempt > 1 and self._policy.second_rank
-        if goes_up and self._find_backlog(now) < SHORT_BACKLOG:
+        if goes_up and self._line.find_backlog(now) < SHORT_BACKLOG:
             return ask.priority - 1
         return ask.priority
 
-    def _find_backlog(self, now: float) -> float:
-        """Return the seconds that the proven slots need for all that waits."""
-        work = sum(self._kinds.find_mean(one.ask.kind) for one in self._queue)
-        return work / max(1.0, self.pool.find_capacity(now))
-
     def _find_pressure(self, now: float) -> float:
         """Return the requests here for each slot of a target that is little in doubt.
 
@@ -424,7 +316,9 @@
         look idle.
         """
         slots = self.pool.count_proved_slots(now)
-        return (len(self._grants) + len(self._queue) + 1) / max(LEAST_SLOTS, slots)
+        return (len(self._grants) + len(self._line) + 1) / max(
+            waiting.LEAST_SLOTS, slots
+        )
 
     def _repeat(self, granted: _Grant, now: float) -> messages.Grant:
         """Return a grant again, since its first telling may have been lost."""
