--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -20,6 +20,8 @@
     replies,
     request_notes,
     request_run,
+    run_messages,
+    run_parts,
     unreachable_targets,
     vocabulary,
 )
@@ -99,7 +101,7 @@
         self._notes = request_notes.RequestNotes(
             tools.log, tools.metrics, tools.knowledge.configured
         )
-        self._parts = request_run.Parts(
+        self._parts = run_parts.Parts(
             vm,
             data_centre,
             tools.placement,
@@ -174,6 +176,6 @@
         reason: str,
         pause: float | None = None,
     ) -> calls.Reply:
-        request_id = request_run.read_request_id(incoming, self._words)
+        request_id = run_messages.read_request_id(incoming, self._words)
         self._notes.note_answer(request_notes.Answer(request_id, status, reason))
         return replies.explain(status, reason, pause)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import math
 
 import anyio
 
 from zinniastand_core.deployment import configuration, targets
-from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
 
 from . import (
     calls,
     http_exchange,
-    ports,
     replies,
     request_notes,
+    run_messages,
+    run_parts,
     target_client,
-    unreachable_targets,
-    vocabulary,
 )
 
 OVERDUE_FACTOR = 4.0
@@ -39,10 +37,6 @@
 OVERDUE_LEFT = 1.5
 """Times the expected time that must be left for another attempt to be worth it."""
 
-MOST_OPEN = 16
-"""Targets with an idle connection that an ask names at most; a name takes a dozen
-bytes."""
-
 RETURN_PAUSE = 0.5
 """Seconds after which a caller may come back where the dispatcher names no time."""
 
@@ -69,41 +63,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Parts:
-    """What all runs of a VM work with."""
-
-    vm: str
-    """Name of this VM."""
-
-    data_centre: str
-    """Where it runs."""
-
-    slots: ports.SlotSource
-    """Gets slots of targets."""
-
-    exchange: ports.TargetExchange
-    """Sends to targets."""
-
-    registry: targets.Registry
-    """Targets known."""
-
-    unreachable: unreachable_targets.UnreachableTargets
-    """Targets that this VM leaves out."""
-
-    notes: request_notes.RequestNotes
-    """Decisions."""
-
-    words: vocabulary.Vocabulary
-    """Headers of the platform."""
-
-    make_ticket: collections.abc.Callable[[], str]
-    """Returns a name for an ask that is unique over the fleet."""
-
-    check_time: collections.abc.Callable[[], None]
-    """Notices a suspension, and takes its time from all runs."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Place:
     """A slot of a target that this request holds."""
@@ -123,7 +82,7 @@
 
     Parameters
     ----------
-    parts : Parts
+    parts : run_parts.Parts
         What it works with.
     incoming : calls.Incoming
         The request.
@@ -135,7 +94,7 @@
 
     def __init__(
         self,
-        parts: Parts,
+        parts: run_parts.Parts,
         incoming: calls.Incoming,
         route: configuration.Route,
         service: str,
@@ -144,9 +103,10 @@
         self._incoming = incoming
         self._route = route
         self._service = service
-        self._request_id = read_request_id(incoming, parts.words)
+        self._request_id = run_messages.read_request_id(incoming, parts.words)
         limit = incoming.read_at + min(
-            route.time_limit, self._read_time_left(route.time_limit)
+            route.time_limit,
+            run_messages.read_time_left(incoming, parts.words, route.time_limit),
         )
         objective = min(limit, incoming.read_at + route.objective)
         self._plan = plan.Plan(route, plan.Times(objective, limit))
@@ -216,8 +176,10 @@
 
     async def _acquire(self) -> _Place | None:
         """Return a slot, or None where the dispatcher refuses."""
-        ask = self._make_ask()
         asked_at = anyio.current_time()
+        ask = run_messages.make_ask(
+            self._parts, self._plan, self._route, self._service, asked_at
+        )
         try:
             answer = await self._parts.slots.acquire(ask)
         except Exception as error:
@@ -299,9 +261,15 @@
         the group, and with it an attempt at which another target is at work.
         """
         try:
+            request = run_messages.make_request(
+                self._incoming.request,
+                self._parts.words,
+                target,
+                self._plan.times.deadline_at - now,
+            )
             return await self._parts.exchange.attempt(
                 target,
-                self._make_request(target, now),
+                request,
                 self._route.work,
                 self._plan.mark_sent,
             )
@@ -337,54 +305,6 @@
     def _name_deadline(self) -> str:
         return STOPPING if self._is_ending else DEADLINE
 
-    def _make_ask(self) -> messages.Ask:
-        parts, times = self._parts, self._plan.times
-        now = anyio.current_time()
-        unreachable = parts.unreachable.list_current(now)
-        return messages.Ask(
-            ticket=parts.make_ticket(),
-            shard=shards.Shard(self._service),
-            kind=self._route.name,
-            may_retry=self._plan.may_retry_next,
-            priority=self._route.priority,
-            objective_at=times.objective_at,
-            deadline_at=times.deadline_at,
-            attempt=self._plan.committed + 1,
-            data_centre=parts.data_centre,
-            excluded=tuple(sorted({*self._plan.excluded, *unreachable})),
-            open_to=tuple(self._list_open(now)),
-        )
-
-    def _list_open(self, now: float) -> list[str]:
-        """Return targets of the service that an idle connection leads to."""
-        open_to = self._parts.exchange.list_open(self._route.work, now)
-        found = [
-            target_id
-            for target_id in open_to
-            if (entry := self._parts.registry.find(target_id)) is not None
-            and entry.service == self._service
-        ]
-        return found[-MOST_OPEN:]
-
-    def _make_request(self, target: targets.Entry, now: float) -> http_exchange.Request:
-        words = self._parts.words
-        left = self._plan.times.deadline_at - now
-        replaced = (words.time_left, words.expected_target)
-        original = self._incoming.request
-        headers = [one for one in original.headers if one[0] not in replaced]
-        # Rounded down: a target must never be told more time than is left.
-        headers.append((words.time_left, b"%d" % max(1, int(left * MILLISECONDS))))
-        headers.append((words.expected_target, target.target_id.encode("latin-1")))
-        return dataclasses.replace(original, headers=headers)
-
-    def _read_time_left(self, default: float) -> float:
-        value = http_exchange.find_header(
-            self._incoming.request.headers, self._parts.words.time_left
-        )
-        if value is None or not value.isdigit():
-            return default
-        return int(value) / MILLISECONDS
-
     def _report(self, place: _Place, outcome: messages.Outcome, took: float) -> None:
         """Give the slot back, and tell how the attempt went."""
         ask, target_id = place.ask, place.grant.target_id
@@ -443,9 +363,3 @@
         if self._retry_at is None:
             return RETURN_PAUSE
         return max(0.0, self._retry_at - now)
-
-
-def read_request_id(incoming: calls.Incoming, words: vocabulary.Vocabulary) -> str:
-    """Return the name that the caller gave the request, empty where it gave none."""
-    value = http_exchange.find_header(incoming.request.headers, words.request_id)
-    return (value or b"").decode("latin-1")
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
@@ -0,0 +1,45 @@
+"""What all runs of a VM work with."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from zinniastand_core.deployment import targets
+
+from . import ports, request_notes, unreachable_targets, vocabulary
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What all runs of a VM work with."""
+
+    vm: str
+    """Name of this VM."""
+
+    data_centre: str
+    """Where it runs."""
+
+    slots: ports.SlotSource
+    """Gets slots of targets."""
+
+    exchange: ports.TargetExchange
+    """Sends to targets."""
+
+    registry: targets.Registry
+    """Targets known."""
+
+    unreachable: unreachable_targets.UnreachableTargets
+    """Targets that this VM leaves out."""
+
+    notes: request_notes.RequestNotes
+    """Decisions."""
+
+    words: vocabulary.Vocabulary
+    """Headers of the platform."""
+
+    make_ticket: collections.abc.Callable[[], str]
+    """Returns a name for an ask that is unique over the fleet."""
+
+    check_time: collections.abc.Callable[[], None]
+    """Notices a suspension, and takes its time from all runs."""
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -21,6 +21,7 @@
     log_lines,
     request_notes,
     request_run,
+    run_parts,
     target_client,
     unreachable_targets,
 )
@@ -135,7 +136,7 @@
 
 def make_parts(
     slots: ScriptedSlots, exchange: ScriptedTargets, names: list[str]
-) -> request_run.Parts:
+) -> run_parts.Parts:
     registry = targets.Registry()
     entries = [
         targets.Entry(
@@ -157,7 +158,7 @@
     notes = request_notes.RequestNotes(
         log, metrics.Metrics(), configuration.ConfigurationState()
     )
-    return request_run.Parts(
+    return run_parts.Parts(
         "vm-1",
         "a",
         slots,
