Pass over a dispatcher that knows no target yet

Cause: a VM that starts greets before it has got its targets, which takes a tenth of a second since it gets them from peers; others rank it and ask it. A refusal for that reason counts only where this VM knows no target either. Test: the second in rank is asked, and is not where nothing is known here.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -119,6 +119,10 @@
         entry = self._registry.find(target_id)
         return entry is not None and shard.covers(entry)
 
+    def has_targets(self, shard: shards.Shard, now: float) -> bool:
+        """Return whether any target of a shard may get work, as far as known."""
+        return bool(self._list_targets(shard, now))
+
     def use_budget(self, budget: RetryBudget) -> None:
         """Give out retries by this budget from now on."""
         self._budget = budget
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -210,10 +210,26 @@
             self._send_ask(vm, ask, now)
             await self._wait(pending, min(now + pause, ask.deadline_at))
             if pending.answer is not None:
-                return pending.answer
+                return self._judge(pending, vm, ask)
             misses = 0 if pending.is_heard else misses + 1
         return None
 
+    def _judge(self, pending: _Pending, vm: str, ask: messages.Ask) -> Answer | None:
+        """Return a VM's answer, or None where it knows less than this one.
+
+        Load pattern: many VMs start at once. One that ranks first for a shard is asked
+        before it has heard of any target, and would refuse what can be served.
+        """
+        answer = pending.answer
+        is_other = vm != self._fleet.own.vm and self._desk is not None
+        if is_other and isinstance(answer, messages.Refuse):
+            is_empty = answer.reason is messages.RefusalReason.NO_TARGET
+            now = anyio.current_time()
+            if is_empty and self._desk and self._desk.has_targets(ask.shard, now):
+                pending.answer = None
+                return None
+        return answer
+
     async def _wait(self, pending: _Pending, until: float) -> None:
         """Wait for the final answer, or until the time for the first word of one."""
         with anyio.CancelScope(deadline=until):
--- a/tests/edge/test_placement.py
+++ b/tests/edge/test_placement.py
@@ -335,3 +335,30 @@
     last = one.link.sent_messages[-1][1]
     assert isinstance(last, messages.Report)
     assert last.shard == moved[0]
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_dispatcher_that_knows_no_target_yet_is_passed_over(
+    is_known: bool,
+) -> None:
+    # Guards against refusing, for a dispatcher that has just started, what this VM
+    # knows targets for.
+    one = Fixture()
+    if is_known:
+        entry = dataclasses.replace(ENTRY, service=one.service, position=9)
+        one.registry.apply([entry], one.now)
+
+    def answer(vm: str, message: datagrams.Message) -> None:
+        if not isinstance(message, datagrams.Asked):
+            return
+        ticket = message.ask.ticket
+        decision: messages.Decision = messages.Grant(ticket, "t1", 0.1, 0.2)
+        if vm == one.first:
+            reason = messages.RefusalReason.NO_TARGET
+            decision = messages.Refuse(ticket, reason, one.now + 1, 3.0)
+        one.placement.take_decision(decision)
+
+    one.link.answer = answer
+    answered = await one.placement.acquire(one.make_ask())
+    assert isinstance(answered, messages.Grant) is is_known
+    assert (one.second in one.link.list_asked()) is is_known
