Tell in the logs which request was at a target when it crashed

Hypothesis: one request crashes whatever runs it. The logs could not tell: attempts named only the id of the caller, new each time, and 'closed before an answer' stood for crashed and living targets alike.

Each attempt names a fingerprint of what is asked (method, host, path, credentials, body), and whether the target refused connections right after it broke off. One check serves all that a crash breaks at a VM. zinniactl explain lists the requests that were at several targets when these crashed, with how often they were answered since.

No decision depends on it yet. Measured: the tests only.

--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
@@ -13,7 +13,7 @@
 order, so that only those under way at a time are open; the oldest go first."""
 
 MOST_NAMES = 20_000
-"""Targets and VMs that are counted by name."""
+"""Targets, VMs and repeated requests that are counted by name."""
 
 Key = tuple[causes.Result, causes.Cause | None]
 
@@ -38,6 +38,20 @@
     """Attempts that it turned away."""
 
 
+@dataclasses.dataclass(slots=True)
+class CrashRow:
+    """How one request, which may come again and again, and its targets fared."""
+
+    targets: set[str] = dataclasses.field(default_factory=set)
+    """Targets that crashed while they held it."""
+
+    sent: int = 0
+    """Attempts since the first of these crashes."""
+
+    answered: int = 0
+    """Those that were answered."""
+
+
 class Account:
     """Takes in log records one by one; memory grows with names, not with lines."""
 
@@ -57,6 +71,7 @@
         self.store_calls_by_second: collections.Counter[int] = collections.Counter()
         self.versions: dict[int, list[float]] = {}
         self.events: collections.Counter[str] = collections.Counter()
+        self.crashes: dict[str, CrashRow] = {}
         self.tried_again = 0
         self.unanswered = 0
         self.lines_dropped = 0
@@ -106,6 +121,7 @@
         attempt = parse_attempt(record)
         self.attempts[attempt.outcome] += 1
         self._count_target(attempt)
+        self._count_crash(attempt)
         key = (record["vm"], str(record.get("request")))
         self._open[key] = (*self._open.get(key, ()), attempt)
         while len(self._open) > MOST_OPEN:
@@ -125,6 +141,19 @@
             row.doubt += attempt.doubt
             row.failed += attempt.outcome != "good"
 
+    def _count_crash(self, attempt: causes.Attempt) -> None:
+        """Count requests by what they ask for, from their first crash on."""
+        row = self.crashes.get(attempt.fingerprint)
+        if row is None:
+            has_room = len(self.crashes) < MOST_NAMES
+            if not attempt.has_crashed or not attempt.fingerprint or not has_room:
+                return
+            row = self.crashes[attempt.fingerprint] = CrashRow()
+        row.sent += 1
+        row.answered += attempt.outcome == "good"
+        if attempt.has_crashed:
+            row.targets.add(attempt.target)
+
     def _take_answer(self, record: log_reader.Line) -> None:
         vm = record["vm"]
         attempts = self._open.pop((vm, str(record.get("request"))), ())
@@ -160,6 +189,8 @@
         str(record.get("outcome", "")),
         str(record.get("why", "")),
         read_number(record, "ms"),
+        str(record.get("fingerprint", "")),
+        record.get("crashed") is True,
     )
 
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account_page.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account_page.py
@@ -71,6 +71,7 @@
         ),
         call_rows=sorted(found.store_calls.items(), key=lambda item: -item[1]),
         targets=summary.list_targets(found),
+        crashes=summary.list_crashes(found),
         services=_list_groups(found.by_service),
         places=_list_groups(found.by_place),
         machines=_list_groups(found.by_vm)[: summary.MOST_ROWS],
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
@@ -52,6 +52,7 @@
     SURPRISE = "failed: target that nobody knew to fail"
     KNOWN = "failed: target believed failing"
     NO_RETRY_LEFT = "failed: no retries left after a failed attempt"
+    CRASHED = "failed: its target crashed"
     AGAIN = "failed: a later attempt failed too"
     PATH = "failed: no path to the target from this VM"
     SILENT = "failed: target silent until the deadline"
@@ -102,6 +103,12 @@
     took: float
     """Milliseconds that it took."""
 
+    fingerprint: str = ""
+    """Names what the request asks for; empty where the line does not tell."""
+
+    has_crashed: bool = False
+    """Whether the target crashed meanwhile."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -170,6 +177,8 @@
     last = sent[-1]
     if last.outcome == "silent":
         return Cause.SILENT
+    if last.has_crashed:
+        return Cause.CRASHED
     if len(sent) > 1:
         return Cause.AGAIN
     return Cause.KNOWN if last.doubt >= KNOWN_DOUBT else Cause.SURPRISE
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -65,11 +65,18 @@
     rows = [
         [row.cause, row.count, f"{row.share:.2%}"] for row in summary.list_causes(found)
     ]
+    crashes = [
+        [row.fingerprint, row.crashed, row.sent, row.answered]
+        for row in summary.list_crashes(found)
+    ]
     calls = [[*key, count] for key, count in sorted(found.store_calls.items())]
     parts = [
         "\n".join(head),
         output.format_table(["cause", "requests", "of all"], rows),
     ]
+    if crashes:
+        names = ["request at crashed targets", "crashed", "sent since", "answered"]
+        parts.append(output.format_table(names, crashes))
     if calls:
         parts.append(output.format_table(["call to the store", "", "calls"], calls))
     return "\n\n".join(parts)
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -47,6 +47,23 @@
     shed: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRow:
+    """A request that was at several targets when they crashed."""
+
+    fingerprint: str
+    """Names what it asks for."""
+
+    crashed: int
+    """Targets that crashed while they held it."""
+
+    sent: int
+    """Attempts since the first of these crashes."""
+
+    answered: int
+    """Those that were answered: whatever crashed the targets, it was not this."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
     """One cause in two runs."""
@@ -89,6 +106,16 @@
     ]
 
 
+def list_crashes(found: account.Account) -> list[CrashRow]:
+    """Return the requests that were at several crashed targets, the worst first."""
+    rows = [
+        CrashRow(name, len(row.targets), row.sent, row.answered)
+        for name, row in found.crashes.items()
+        if len(row.targets) > 1
+    ]
+    return sorted(rows, key=lambda row: -row.crashed)[:MOST_ROWS]
+
+
 def describe(found: account.Account) -> dict[str, object]:
     """Return all that there is to say, as values that JSON holds."""
     return {
@@ -111,6 +138,7 @@
         "by_service": _name_keys(found.by_service),
         "by_data_centre": _name_keys(found.by_place),
         "by_vm": _name_keys(found.by_vm),
+        "crashes": [dataclasses.asdict(row) for row in list_crashes(found)],
         "targets": [dataclasses.asdict(row) for row in list_targets(found)],
         "versions": {
             str(version): {"vms": len(times), "spread_s": max(times) - min(times)}
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
@@ -0,0 +1,75 @@
+"""Tells a target that crashed from one that broke off an answer and lives on."""
+
+from __future__ import annotations
+
+import errno
+
+import anyio
+import anyio.abc
+
+from zinniastand_core.deployment import targets
+
+CHECK_TIMEOUT = 0.1
+"""Seconds for a connection. A crashed process refuses it at once; silence says nothing,
+since the link may be cut."""
+
+KEEP_FOR = 0.3
+"""Seconds for which the result of a check is used again: whatever a target held when it
+crashed breaks in the same moment."""
+
+
+class CrashCheck:
+    """Finds out whether targets take connections."""
+
+    def __init__(self) -> None:
+        self._is_down: dict[str, tuple[bool, float]] = {}
+        self._under_way: dict[str, anyio.Event] = {}
+
+    async def is_down(self, target: targets.Entry) -> bool:
+        """Return whether a target refuses connections."""
+        name = target.target_id
+        while name in self._under_way:
+            await self._under_way[name].wait()
+        now = anyio.current_time()
+        known = self._is_down.get(name)
+        if known is not None and now < known[1] + KEEP_FOR:
+            return known[0]
+        done = self._under_way[name] = anyio.Event()
+        try:
+            is_down = await _refuses(target)
+        finally:
+            del self._under_way[name]
+            done.set()
+        self._keep(name, is_down)
+        return is_down
+
+    def _keep(self, name: str, is_down: bool) -> None:
+        now = anyio.current_time()
+        self._is_down = {
+            known: result
+            for known, result in self._is_down.items()
+            if now < result[1] + KEEP_FOR
+        }
+        self._is_down[name] = (is_down, now)
+
+
+async def _refuses(target: targets.Entry) -> bool:
+    try:
+        with anyio.fail_after(CHECK_TIMEOUT):
+            stream = await anyio.connect_tcp(target.host, target.port)
+    except TimeoutError:
+        return False
+    except OSError as error:
+        return _is_refusal(error)
+    await anyio.aclose_forcefully(stream)
+    return False
+
+
+def _is_refusal(error: OSError) -> bool:
+    """Return whether a failure to connect says that nobody listens there."""
+    found: BaseException | None = error
+    while found is not None:
+        if getattr(found, "errno", None) == errno.ECONNREFUSED:
+            return True
+        found = found.__cause__
+    return False
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -15,6 +15,7 @@
 from .. import metrics
 from . import (
     calls,
+    crash_check,
     log_lines,
     ports,
     replies,
@@ -115,6 +116,7 @@
             self._notes,
             tools.words,
             self._make_ticket,
+            crash_check.CrashCheck().is_down,
             tools.check_time,
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/http_exchange.py
@@ -28,7 +28,19 @@
 
 
 class BrokenAnswerError(Exception):
-    """The bytes that came are no whole answer."""
+    """The bytes that came are no whole answer.
+
+    Parameters
+    ----------
+    detail : str
+        What came instead.
+    is_cut : bool, optional
+        Whether the connection ended.
+    """
+
+    def __init__(self, detail: str, is_cut: bool = False) -> None:
+        super().__init__(detail)
+        self.is_cut = is_cut
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,10 +235,10 @@
             try:
                 event = self._engine.next_event()
             except h11.RemoteProtocolError as error:
-                detail = (
-                    self._describe("closed") if self._has_ended else "not an answer"
-                )
-                raise BrokenAnswerError(detail) from error
+                if self._has_ended:
+                    detail = self._describe("closed")
+                    raise BrokenAnswerError(detail, is_cut=True) from error
+                raise BrokenAnswerError("not an answer") from error
             match event:
                 case h11.Response():
                     head = event
@@ -250,7 +262,8 @@
             self._has_ended = True
             data = b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise BrokenAnswerError(self._describe("reset")) from error
+            detail = self._describe("reset")
+            raise BrokenAnswerError(detail, is_cut=True) from error
         self.has_begun = self.has_begun or bool(data)
         self._engine.receive_data(data)
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -24,6 +24,9 @@
     request_id: str
     """The request."""
 
+    fingerprint: str
+    """Names what it asks for; the same when it returns under another id."""
+
     service: str
     """The service that it goes to."""
 
@@ -42,6 +45,9 @@
     took: float
     """Seconds that it took."""
 
+    has_crashed: bool = False
+    """Whether the target crashed while it held the request."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -101,6 +107,7 @@
         self._log.write(
             "attempt",
             request=attempt.request_id,
+            fingerprint=attempt.fingerprint,
             service=attempt.service,
             target=grant.target_id,
             doubt=round(grant.doubt, 3),
@@ -109,6 +116,7 @@
             outcome=attempt.outcome.value,
             why=attempt.why,
             ms=round(attempt.took * MILLISECONDS),
+            **({"crashed": True} if attempt.has_crashed else {}),
         )
         self._counters.count(
             "zinniastand_attempts_total", metrics.label(outcome=attempt.outcome.value)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -13,6 +13,7 @@
 
 from . import (
     calls,
+    fingerprints,
     http_exchange,
     replies,
     request_notes,
@@ -104,6 +105,9 @@
         self._route = route
         self._service = service
         self._request_id = run_messages.read_request_id(incoming, parts.words)
+        self._fingerprint = fingerprints.make_fingerprint(
+            incoming.request, incoming.host, parts.words
+        )
         limit = incoming.read_at + min(
             route.time_limit,
             run_messages.read_time_left(incoming, parts.words, route.time_limit),
@@ -242,16 +246,18 @@
         """Send to one target; take in, report and note how that ended."""
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
+        has_crashed = False
         try:
             attempt = await self._send(target, started)
             outcome, why = OUTCOMES[attempt.result], attempt.detail
+            has_crashed = attempt.is_cut and await self._parts.is_down(target)
         finally:
             now = anyio.current_time()
             if outcome is messages.Outcome.ABANDONED:
                 self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
             self._report(place, outcome, now - started)
-            self._note_attempt(place, outcome, why, now - started)
+            self._note_attempt(place, outcome, why, now - started, has_crashed)
         return self._take(attempt, target, now)
 
     async def _send(self, target: targets.Entry, now: float) -> target_client.Attempt:
@@ -315,17 +321,24 @@
         )
 
     def _note_attempt(
-        self, place: _Place, outcome: messages.Outcome, why: str, took: float
+        self,
+        place: _Place,
+        outcome: messages.Outcome,
+        why: str,
+        took: float,
+        has_crashed: bool,
     ) -> None:
         self._parts.notes.note_attempt(
             request_notes.Attempt(
                 self._request_id,
+                self._fingerprint,
                 self._service,
                 place.grant,
                 place.waited,
                 outcome,
                 why,
                 took,
+                has_crashed,
             )
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
@@ -41,5 +41,8 @@
     make_ticket: collections.abc.Callable[[], str]
     """Returns a name for an ask that is unique over the fleet."""
 
+    is_down: collections.abc.Callable[[targets.Entry], collections.abc.Awaitable[bool]]
+    """Returns whether a target refuses connections."""
+
     check_time: collections.abc.Callable[[], None]
     """Notices a suspension, and takes its time from all runs."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -79,6 +79,9 @@
     """Whether the target may have begun on it: some of an answer came, or some time
     passed."""
 
+    is_cut: bool = False
+    """Whether the connection ended before the answer was whole."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
@@ -164,11 +167,11 @@
         if was_pooled and not attempt.has_begun and work is services.Work.IDEMPOTENT:
             # An idle connection may be gone without the target being at fault. Work
             # that it broke off is for the plan, which knows limits and time left.
-            return await self._send_again(target, request, attempt.detail)
+            return await self._send_again(target, request, attempt)
         return attempt
 
     async def _send_again(
-        self, target: targets.Entry, request: http_exchange.Request, first: str
+        self, target: targets.Entry, request: http_exchange.Request, first: Attempt
     ) -> Attempt:
         """Send a request once more, on a new connection.
 
@@ -177,10 +180,11 @@
         """
         connection = await self._connect(target)
         if connection is None:
-            return Attempt(plan.Result.BROKEN, None, f"{first}, then no connection")
+            detail = f"{first.detail}, then no connection"
+            return dataclasses.replace(first, detail=detail)
         attempt = await self._exchange(target, connection, request)
         if attempt.result in plan.PROVED_NOT_RUN:
-            detail = f"{first}, then {attempt.detail}"
+            detail = f"{first.detail}, then {attempt.detail}"
             return Attempt(plan.Result.BROKEN, None, detail)
         return attempt
 
@@ -237,7 +241,8 @@
         except http_exchange.BrokenAnswerError as error:
             is_late = anyio.current_time() > dropped_by
             has_begun = exchange.has_begun or is_late
-            return Attempt(plan.Result.BROKEN, None, str(error), has_begun)
+            detail, is_cut = str(error), error.is_cut
+            return Attempt(plan.Result.BROKEN, None, detail, has_begun, is_cut)
         finally:
             self.foreign += exchange.foreign
             if not is_kept:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/vocabulary.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/vocabulary.py
@@ -21,5 +21,8 @@
     signature: bytes
     """A target's signature of its answer; on every success."""
 
+    credentials: tuple[bytes, ...]
+    """On a caller's request: as whom it asks."""
+
     not_run: bytes
     """On a target's answer: it did not run the request."""
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -71,6 +71,10 @@
             (make_attempt("failed"), make_answer(500, "retry-budget")),
             causes.Cause.NO_RETRY_LEFT,
         ),
+        (
+            (make_attempt("failed", crashed=True), make_answer(502, "closed")),
+            causes.Cause.CRASHED,
+        ),
         ((make_attempt("silent"), make_answer(504, "deadline")), causes.Cause.SILENT),
         ((make_answer(504, "deadline"),), causes.Cause.DEADLINE),
         ((make_answer(503, "overloaded"),), causes.Cause.QUEUE),
@@ -151,6 +155,19 @@
         )
 
 
+def test_request_that_returns_is_counted_by_the_targets_that_crashed_under_it() -> None:
+    # Its id is new each time: by ids, each crash seems to be of another request.
+    found = account.Account()
+    for number in range(3):
+        crashed = {"crashed": True, "target": f"t{number}", "request": f"r{number}"}
+        line = make_attempt("failed", fingerprint="aa", **crashed)
+        found.take(json.loads(line))
+    found.take(json.loads(make_attempt("failed", fingerprint="bb", crashed=True)))
+    found.take(json.loads(make_attempt("good", fingerprint="bb")))
+    [row] = summary.list_crashes(found)
+    assert (row.fingerprint, row.crashed, row.sent, row.answered) == ("aa", 3, 3, 0)
+
+
 def run(*arguments: object) -> typer.testing.Result:
     return RUNNER.invoke(cli.app, ["explain", *map(str, arguments)])
 
--- /dev/null
+++ b/tests/edge/test_crash_check.py
@@ -0,0 +1,68 @@
+"""Telling a crashed target from one that broke off an answer."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import anyio.abc
+import pytest
+
+from zinniastand_core import services
+from zinniastand_core.deployment import targets
+from zinniastand_core.forwarding import plan
+from zinniastand_platform import words
+from zinniastand_proxy.edge import crash_check, http_exchange, target_client
+
+pytestmark = pytest.mark.anyio
+
+
+def make_target(port: int) -> targets.Entry:
+    phase = targets.Phase.READY
+    return targets.Entry("t", "desk", "127.0.0.1", port, "a", 1, phase, 1, 0.0, 1)
+
+
+async def test_target_that_only_drops_its_connections_has_not_crashed() -> None:
+    async def drop(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, drop)
+        target = make_target(listener.extra(anyio.abc.SocketAttribute.local_port))
+        client = target_client.TargetClient(words.HEADERS)
+        request = http_exchange.Request(b"GET", b"/x", [(b"host", b"h")], b"", False)
+        work = services.Work.AT_MOST_ONCE
+        seen = await client.attempt(target, request, work, lambda: None)
+        assert (seen.result, seen.is_cut) == (plan.Result.BROKEN, True)
+        assert not await crash_check.CrashCheck().is_down(target)
+        group.cancel_scope.cancel()
+
+
+async def test_target_that_refuses_connections_has_crashed() -> None:
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        target = make_target(unused.getsockname()[1])
+        assert await crash_check.CrashCheck().is_down(target)
+
+
+async def test_one_check_serves_all_that_a_crash_breaks() -> None:
+    connections = 0
+
+    async def count(stream: anyio.abc.SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        await stream.aclose()
+
+    check = crash_check.CrashCheck()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, count)
+        target = make_target(listener.extra(anyio.abc.SocketAttribute.local_port))
+        async with anyio.create_task_group() as checks:
+            for _ in range(20):
+                checks.start_soon(check.is_down, target)
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert connections == 1
--- /dev/null
+++ b/tests/edge/test_fingerprints.py
@@ -0,0 +1,38 @@
+"""Knowing a request again when it returns."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from zinniastand_platform import words
+from zinniastand_proxy.edge import fingerprints, http_exchange
+
+HEADERS = [(b"x-request-id", b"1"), (b"authorization", b"Bearer a")]
+REQUEST = http_exchange.Request(b"POST", b"/x?y=1", HEADERS, b"body", True)
+
+
+def find(request: http_exchange.Request, host: str = "h") -> str:
+    return fingerprints.make_fingerprint(request, host, words.HEADERS)
+
+
+def test_request_that_returns_under_another_id_is_known() -> None:
+    again = [(b"x-request-id", b"2"), (b"x-deadline-ms", b"9"), HEADERS[1]]
+    assert find(dataclasses.replace(REQUEST, headers=again)) == find(REQUEST)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"method": b"PUT"},
+        {"path": b"/x?y=2"},
+        {"body": b"other"},
+        {"headers": [(b"authorization", b"Bearer b")]},
+    ],
+)
+def test_requests_for_something_else_or_of_another_caller_differ(
+    change: dict[str, object],
+) -> None:
+    assert find(dataclasses.replace(REQUEST, **change)) != find(REQUEST)
+    assert find(REQUEST, "other") != find(REQUEST)
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -44,6 +44,9 @@
     after: float
     """Seconds after which it ends."""
 
+    has_crashed: bool = False
+    """Whether the target crashes then."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Seen:
@@ -96,6 +99,10 @@
         """Return none: every attempt opens a connection."""
         return []
 
+    async def is_down(self, target: targets.Entry) -> bool:
+        """Return whether a target has crashed."""
+        return self.scripts[target.target_id].has_crashed
+
     async def attempt(
         self,
         target: targets.Entry,
@@ -114,7 +121,8 @@
             raise
         status = {Result.ANSWERED: 200, Result.ERROR: 500}.get(script.result)
         if status is None:
-            return target_client.Attempt(script.result, None, script.result.value)
+            detail, is_cut = script.result.value, script.result is Result.BROKEN
+            return target_client.Attempt(script.result, None, detail, is_cut=is_cut)
         name = target.target_id.encode()
         answer = http_exchange.Answer(status, [], name, True, b"")
         return target_client.Attempt(script.result, answer, str(status))
@@ -168,6 +176,7 @@
         notes,
         words.HEADERS,
         lambda: "ticket",
+        exchange.is_down,
         lambda: None,
     )
 
