Show that a request goes on to crash targets at every VM

What callers saw: one request, sent again and again to any VM, ended every target that ran it, and other work there with it.

--- /dev/null
+++ b/tests/edge/test_crashing_requests.py
@@ -0,0 +1,87 @@
+"""Requests that crash each target that runs them."""
+
+from __future__ import annotations
+
+import anyio
+import edge_site
+import pytest
+
+pytestmark = pytest.mark.anyio
+
+FRAGILE = "/fragile"
+SETTLED = 0.3
+MOST_CRASHES = 6
+"""Targets that may crash before all VMs know: three, and those that the same request
+has reached at the same time."""
+
+
+async def start(site: edge_site.Site, *names: str) -> list[edge_site.Vm]:
+    site.publish([edge_site.make_route(kind="safe")])
+    for number in range(8):
+        target = edge_site.Target(f"t{number}")
+        await site.start_fragile_target(target, FRAGILE.encode())
+    vms = [await site.start_vm(name) for name in names]
+    for vm in vms:
+        await edge_site.wait_ready(vm)
+    return vms
+
+
+async def send(vm: edge_site.Vm, request_id: str) -> int:
+    answer = await edge_site.call(vm, FRAGILE, request_id, method="GET", body=b"")
+    return answer.status_code
+
+
+def count_crashes(site: edge_site.Site) -> int:
+    return sum(1 for one in site.targets.values() if one.crash_scope.cancel_called)
+
+
+async def test_request_that_crashes_its_targets_is_kept_from_them_by_all_vms() -> None:
+    # Each VM sees a crash or two; only together do they see what crashes the targets.
+    async with edge_site.run_site() as site:
+        vms = await start(site, "vm-1", "vm-2", "vm-3", "vm-4")
+        for number in range(8):
+            await send(vms[number % 4], f"r{number}")
+        await anyio.sleep(SETTLED)
+        before = count_crashes(site)
+        assert before <= MOST_CRASHES
+        statuses = {await send(vms[n % 4], f"s{n}") for n in range(12)}
+        assert statuses == {503}
+        assert count_crashes(site) == before
+        answer = await edge_site.call(vms[0], "/other", method="GET", body=b"")
+        assert answer.status_code == 200
+
+
+async def test_vm_that_starts_later_knows_what_crashes_targets() -> None:
+    async with edge_site.run_site() as site:
+        vms = await start(site, "vm-1", "vm-2", "vm-3")
+        for number in range(8):
+            await send(vms[number % 3], f"r{number}")
+        before = count_crashes(site)
+        late = await site.start_vm("vm-late")
+        await edge_site.wait_ready(late)
+        await anyio.sleep(SETTLED)
+        assert [await send(late, f"s{n}") for n in range(4)] == [503] * 4
+        assert count_crashes(site) == before
+
+
+async def test_request_is_not_denied_because_targets_crash_by_themselves() -> None:
+    # Many callers ask the same; targets crash under it one after the other, and in
+    # between it is answered.
+    async with edge_site.run_site() as site:
+        vms = await start(site, "vm-1", "vm-2")
+        served = 0
+        for number in range(40):
+            if number % 5 == 0:
+                victims = [
+                    one
+                    for one in site.targets.values()
+                    if not one.crash_scope.cancel_called
+                ]
+                for one in victims[:2]:
+                    one.crash_path = b"/same"
+            answer = await edge_site.call(
+                vms[number % 2], "/same", f"r{number}", method="GET", body=b""
+            )
+            served += answer.status_code == 200
+            assert answer.status_code != 503
+        assert served >= 30
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -29,6 +30,7 @@
 
 HOST = "127.0.0.1"
 LOG_BYTES = 10_000_000
+CRASHED_FOR = 0.4
 
 
 def fail_on_error(error: BaseException) -> None:
@@ -47,6 +49,10 @@
         self.delay = 0.0
         self.slots = 4
         self.is_signed = True
+        self.crash_path: bytes | None = None
+        self.crash_scope = anyio.CancelScope()
+        self.limit: float | None = None
+        self.arrived: list[float] = []
         self.ran: list[str] = []
         self.cancelled: list[str] = []
         self.time_left: list[int] = []
@@ -57,6 +63,10 @@
         request_id = headers[words.HEADERS.request_id].decode()
         if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
             return calls.Reply(421, [], b"")
+        self.arrived.append(anyio.current_time())
+        if incoming.request.path == self.crash_path:
+            self.crash_scope.cancel()
+            await anyio.sleep_forever()
         if self.status == 503:
             return calls.Reply(503, [(words.HEADERS.not_run, b"1")], b"")
         self.ran.append(request_id)
@@ -67,6 +77,8 @@
         if incoming.caller.has_left:
             self.cancelled.append(request_id)
         answered = [(words.HEADERS.request_id, request_id.encode())]
+        if self.limit is not None:
+            answered.append((b"server-limit", str(self.limit).encode()))
         if self.is_signed:
             answered.append((words.HEADERS.signature, b"signed"))
         body = self.target_id.encode() + b" " + incoming.request.body
@@ -113,6 +125,36 @@
         self.targets[target.target_id] = target
         self.register(target)
 
+    async def start_fragile_target(self, target: Target, path: bytes) -> None:
+        """Serve a target that a request for this path crashes, and its successors.
+
+        Each crash ends its listener and its connections without an answer. Another
+        target follows after a while under another name.
+        """
+        target.crash_path = path
+        started = anyio.Event()
+        self._group.start_soon(self._serve_fragile, target, path, started)
+        await started.wait()
+
+    async def _serve_fragile(
+        self, target: Target, path: bytes, started: anyio.Event
+    ) -> None:
+        name = target.target_id
+        for number in itertools.count(1):
+            with target.crash_scope:
+                async with anyio.create_task_group() as group:
+                    server = http_server.Server(
+                        target, configuration.Limits, fail_on_error
+                    )
+                    target.port = await group.start(server.serve, HOST, 0)
+                    self.targets[target.target_id] = target
+                    self.register(target)
+                    started.set()
+            await anyio.sleep(CRASHED_FOR)
+            self.store.put(words.TARGETS_TOPIC, target.target_id, b"")
+            target = Target(f"{name}-{number}", target.service)
+            target.crash_path = path
+
     def register(self, target: Target, state: str = "ready") -> None:
         """Write a target's entry."""
         address = f"{HOST}:{target.port}"
