Keep requests that crash their targets from all targets

Cause: each VM judged each attempt by itself, by the id of the caller, which is new with each attempt. Nobody knew that the request that broke off was the one that had crashed other targets. The class: a fact about work, not about targets, that no VM can see alone.

Change: a request is known by its fingerprint. A target that breaks off an answer and then refuses connections has crashed. Three crashes in turn without an answer in between quarantine the request at all VMs; it is answered 503 at once, which holds, since it is not sent. Records merge in any order; three VMs by rank count single crashes, and from the second on everybody is told, at once and again from time to time. Equal requests of many callers stay free: their answers clear them, and targets that fail in one moment count once. A hold ends with one trial.

--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/quarantine/quarantine.py
@@ -0,0 +1,135 @@
+"""The requests that are suspected of crashing their targets, as one VM knows them."""
+
+from __future__ import annotations
+
+import collections
+import math
+
+from . import suspect
+
+MOST_SUSPECTS = 512
+"""Requests with a crash that are kept. Where targets crash by themselves, each request
+there is one; those with the fewest crashes in turn go first."""
+
+MOST_ANSWERED = 4096
+"""Requests of which the last answer is kept."""
+
+KEEP_FOR = 120.0
+"""Seconds after its last crash or hold for which a request is kept."""
+
+TOLD_AGAIN = 3.0
+"""Seconds by which an answer must be later than the last known one to be news: a few
+answers of a popular request say as much as all of them."""
+
+
+class Quarantine:
+    """Keeps requests that crash their targets from all targets."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, suspect.Suspect] = {}
+        self._answered: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def find(self, fingerprint: str) -> suspect.Suspect | None:
+        """Return the record of a request, if there is one."""
+        return self._suspects.get(fingerprint)
+
+    def find_hold(self, fingerprint: str, now: float) -> float | None:
+        """Return until when a request is quarantined, or None where it is not."""
+        known = self._suspects.get(fingerprint)
+        if known is None or not known.is_quarantined(now):
+            return None
+        return known.find_hold()
+
+    def begin_trial(self, fingerprint: str, now: float) -> bool:
+        """Let a request run once after its hold; return whether that is a trial.
+
+        Others of the same request wait for what becomes of it.
+        """
+        known = self._suspects.get(fingerprint)
+        if known is None or known.count_in_turn() < suspect.CRASHES_TO_QUARANTINE:
+            return False
+        return self.merge(fingerprint, suspect.Suspect(tried_at=now))
+
+    def note_answered(self, fingerprint: str, now: float) -> bool:
+        """Take in that a target answered a request; return whether others want to know.
+
+        It also counts against crashes that other VMs have seen and not told yet.
+        """
+        self._answered[fingerprint] = now
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MOST_ANSWERED:
+            self._answered.popitem(last=False)
+        known = self._suspects.get(fingerprint)
+        if known is None or now < known.answered_at + TOLD_AGAIN:
+            return False
+        if not is_shared(known):
+            del self._suspects[fingerprint]
+            return False
+        return self.merge(fingerprint, suspect.Suspect(answered_at=now))
+
+    def merge(self, fingerprint: str, heard: suspect.Suspect) -> bool:
+        """Take in a record of a request; return whether anything in it is new."""
+        known = self._suspects.get(fingerprint, suspect.Suspect())
+        answered_at = self._answered.get(fingerprint, -math.inf)
+        merged = known.merge(heard).merge(suspect.Suspect(answered_at=answered_at))
+        if fingerprint in self._suspects and not merged.is_news_to(known):
+            self._suspects[fingerprint] = merged
+            return False
+        self._suspects[fingerprint] = merged
+        if len(self._suspects) > MOST_SUSPECTS:
+            self._drop_least()
+        return fingerprint in self._suspects
+
+    def list_shared(self) -> list[str]:
+        """Return the requests of which all VMs should know.
+
+        Those with one crash are many where targets crash by themselves, and say
+        nothing; a few VMs count them.
+        """
+        return [name for name, one in self._suspects.items() if is_shared(one)]
+
+    def count_quarantined(self, now: float) -> int:
+        """Return how many requests are quarantined."""
+        return sum(one.is_quarantined(now) for one in self._suspects.values())
+
+    def forget_old(self, now: float) -> None:
+        """Forget requests that crashed nothing for long."""
+        self._suspects = {
+            name: one
+            for name, one in self._suspects.items()
+            if now < _find_latest(one) + KEEP_FOR
+        }
+
+    def lose_time(self, seconds: float) -> None:
+        """Take in that the clock has not counted some time: all is older."""
+        self._suspects = {
+            name: one.age(seconds) for name, one in self._suspects.items()
+        }
+        for name in self._answered:
+            self._answered[name] -= seconds
+
+    def _drop_least(self) -> None:
+        least = min(
+            self._suspects,
+            key=lambda name: (
+                self._suspects[name].count_in_turn(),
+                _find_latest(self._suspects[name]),
+            ),
+        )
+        del self._suspects[least]
+
+
+def is_shared(one: suspect.Suspect) -> bool:
+    """Return whether all VMs should know of a request.
+
+    One without a crash was answered after several: others must hear that as well.
+    """
+    return len(one.crashes) != 1
+
+
+def _find_latest(one: suspect.Suspect) -> float:
+    last = one.crashes[-1].ended_at if one.crashes else one.answered_at
+    return max(last, one.find_hold())
--- /dev/null
+++ b/packages/zinniastand-core/src/zinniastand_core/quarantine/suspect.py
@@ -0,0 +1,144 @@
+"""What is known of one request that was at targets when they crashed.
+
+A request that crashes its targets does so wherever it runs, and is never answered. One
+that only shared a target with it, or ran while targets crashed for another reason, is
+answered elsewhere. Several facts tell them apart: crashes in turn, where each attempt
+began after the crash before it, and the last time at which the same request was
+answered. Targets of one rack that fail in the same moment count as one crash.
+
+All VMs hold such records and merge them. Records may arrive late, twice and in any
+order: what is known stays, and what is not is added.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+CRASHES_TO_QUARANTINE = 3
+"""Crashes in turn from which a request is quarantined."""
+
+TRUSTED_FOR = 10.0
+"""Seconds after an answer for which crashes are not held against the same request."""
+
+HOLD = 60.0
+"""Seconds for which a request is quarantined at first. Targets may have crashed for a
+reason that is mended by then."""
+
+LONGEST_HOLD = 3600.0
+"""Most seconds for which a request is quarantined at a time."""
+
+TRIAL_TIME = 10.0
+"""Seconds for which a trial keeps others of the same request back: longer than most
+requests take."""
+
+MOST_CRASHES = 12
+"""Crashes that are kept: the longest hold needs nine in turn."""
+
+MOST_OVERLAP = 0.05
+"""Seconds by which attempts in turn may seem to overlap: times travel between VMs as
+ages, which the way lengthens."""
+
+OVERLAP_SHARE = 0.5
+"""The same as a share of the attempt. Short work that breaks together in one moment
+would otherwise seem to have begun after it."""
+
+
+SAME_MOMENT = 1.0
+"""Seconds by which two times of the same event may differ: each VM that passes it on
+adds the way. Without this, records would seem new for ever."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Crash:
+    """A target crashed while it held the request; times of a steady clock."""
+
+    ended_at: float
+    """When the attempt broke off."""
+
+    took: float
+    """Seconds from its sending until then."""
+
+    target: str
+    """Which start of which target."""
+
+    @property
+    def started_at(self) -> float:
+        """When the attempt was sent."""
+        return self.ended_at - self.took
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """The record of one request."""
+
+    crashes: tuple[Crash, ...] = ()
+    """Crashes, in the order of their times, one for each target."""
+
+    answered_at: float = -math.inf
+    """When a target last answered it."""
+
+    tried_at: float = -math.inf
+    """When its last trial after a quarantine began."""
+
+    def merge(self, other: Suspect) -> Suspect:
+        """Return what both records know together."""
+        # The way makes times later, so that the earliest is the most exact.
+        both = sorted((*self.crashes, *other.crashes), reverse=True)
+        by_target = {one.target: one for one in both}
+        answered_at = _choose_later(self.answered_at, other.answered_at)
+        counted = [
+            one
+            for one in sorted(by_target.values())
+            if one.started_at > answered_at + TRUSTED_FOR
+        ]
+        return Suspect(
+            tuple(counted[-MOST_CRASHES:]),
+            answered_at,
+            _choose_later(self.tried_at, other.tried_at),
+        )
+
+    def count_in_turn(self) -> int:
+        """Return how many crashes followed each other, without overlapping."""
+        count, last = 0, -math.inf
+        for one in self.crashes:
+            overlap = min(MOST_OVERLAP, OVERLAP_SHARE * one.took)
+            if one.started_at >= last - overlap:
+                count += 1
+                last = one.ended_at
+        return count
+
+    def find_hold(self) -> float:
+        """Return until when the request is kept from all targets; -inf for not at all.
+
+        Each further crash doubles the time, as the trials after it tell ever less.
+        """
+        beyond = self.count_in_turn() - CRASHES_TO_QUARANTINE
+        if beyond < 0:
+            return -math.inf
+        hold = min(LONGEST_HOLD, HOLD * 2.0**beyond)
+        return max(self.crashes[-1].ended_at + hold, self.tried_at + TRIAL_TIME)
+
+    def is_quarantined(self, now: float) -> bool:
+        """Return whether the request is kept from all targets."""
+        return now < self.find_hold()
+
+    def is_news_to(self, known: Suspect) -> bool:
+        """Return whether it says more than another record, times apart."""
+        targets = {one.target for one in self.crashes}
+        return (
+            targets != {one.target for one in known.crashes}
+            or self.answered_at != known.answered_at
+            or self.tried_at != known.tried_at
+        )
+
+    def age(self, seconds: float) -> Suspect:
+        """Return the record with all times that much earlier."""
+        crashes = tuple(
+            Crash(one.ended_at - seconds, one.took, one.target) for one in self.crashes
+        )
+        return Suspect(crashes, self.answered_at - seconds, self.tried_at - seconds)
+
+
+def _choose_later(known: float, heard: float) -> float:
+    return heard if heard > known + SAME_MOMENT else known
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
@@ -43,6 +43,7 @@
     """Why a request was not served in time."""
 
     QUEUE = "refused: queue too long"
+    QUARANTINED = "refused: it crashes its targets"
     RETRY_BUDGET = "refused: no retries left after a target turned it away"
     NO_TARGET = "refused: no target"
     NO_KNOWLEDGE = "refused: no configuration yet"
@@ -72,6 +73,7 @@
     "no-target": Cause.NO_TARGET,
     "no-configuration": Cause.NO_KNOWLEDGE,
     "stopping": Cause.STOP,
+    "quarantined": Cause.QUARANTINED,
 }
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -14,8 +14,9 @@
 
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.quarantine import suspect
 
-from . import ports
+from . import ports, suspect_codec
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,6 +162,14 @@
     """The slot."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspects:
+    """What a VM knows of requests that were at targets when they crashed."""
+
+    items: tuple[tuple[str, suspect.Suspect], ...]
+    """Fingerprint and record of each."""
+
+
 MOST_NAMES = 256
 """Names of targets in one list of an ask; a VM leaves out fewer."""
 
@@ -177,6 +186,7 @@
     | Opinions
     | Asked
     | Adopted
+    | Suspects
     | messages.Grant
     | messages.Refuse
     | messages.Wait
@@ -244,6 +254,8 @@
         case Adopted():
             held = message.held
             return ["k", message.vm, held.target_id, *_pack_ask(held.ask, now)]
+        case Suspects():
+            return ["s", suspect_codec.pack(message.items, now)]
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
@@ -280,6 +292,8 @@
             return Opinions(shards.Shard(*rest[:4]), items, times)
         case "a":
             return Asked(rest[0], _unpack_ask(rest[1:], now))
+        case "s":
+            return Suspects(suspect_codec.unpack(rest[0], now))
         case "g":
             return messages.Grant(*rest)
         case "r":
@@ -290,11 +304,7 @@
         case "w":
             return messages.Wait(rest[0])
         case "e":
-            ticket, target_id, outcome, took, vm = rest[4:]
-            shard = shards.Shard(*rest[:4])
-            return messages.Report(
-                ticket, shard, target_id, messages.Outcome(outcome), took, vm
-            )
+            return _unpack_report(rest)
         case "k":
             held = messages.Held(_unpack_ask(rest[2:], now), rest[1])
             return Adopted(rest[0], held)
@@ -302,6 +312,14 @@
             raise UnreadableError(f"unknown kind {kind!r:.20}")
 
 
+def _unpack_report(fields: list) -> messages.Report:
+    ticket, target_id, outcome, took, vm = fields[4:]
+    shard = shards.Shard(*fields[:4])
+    return messages.Report(
+        ticket, shard, target_id, messages.Outcome(outcome), took, vm
+    )
+
+
 def _pack_shard(shard: shards.Shard) -> list[object]:
     return [shard.service, shard.data_centre, shard.index, shard.count]
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -13,6 +13,7 @@
 
 from zinniastand_core.deployment import configuration, routing, targets
 from zinniastand_core.dispatch import messages
+from zinniastand_core.quarantine import quarantine
 
 from .. import metrics
 from . import (
@@ -34,6 +35,7 @@
     resignation,
     stopping,
     supervision,
+    suspect_exchange,
     suspension,
     target_client,
     vocabulary,
@@ -217,6 +219,7 @@
             ("wake desk", self._wake_desk),
             ("tell opinions", self._talk.tell_opinions_regularly),
             ("greet", self._talk.greet),
+            ("tell suspects", self._suspects.run),
             ("close idle", self._close_idle),
             ("write log", self._log.run),
             ("follow settings", self._follow_settings),
@@ -242,7 +245,9 @@
             self._rng,
             self._resignation,
         )
-        hearers = fleet_talk.Hearers(self._desk, self._keeper, self._placement)
+        hearers = fleet_talk.Hearers(
+            self._desk, self._keeper, self._placement, self._suspects
+        )
         self._talk = fleet_talk.FleetTalk(
             self._fleet, self._link, hearers, self._log, self._note_fault
         )
@@ -252,6 +257,7 @@
             knowledge,
             self._placement,
             self._client,
+            self._suspects,
             self._words,
             self._log,
             self.metrics,
@@ -284,6 +290,9 @@
         )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_desk(self._desk)
+        self._suspects = suspect_exchange.SuspectExchange(
+            quarantine.Quarantine(), self._fleet, self._link, log, self._rng
+        )
         return own
 
     def _build_servers(self, handler: calls.Handler) -> None:
@@ -321,6 +330,7 @@
             ("zinniastand_target_answers_foreign_total", self._client.foreign),
             ("zinniastand_target_answers_unnamed_total", self._client.unnamed),
             ("zinniastand_configuration_version", self._configured.version),
+            ("zinniastand_requests_quarantined", self._suspects.count_quarantined()),
             ("zinniastand_log_lines_dropped", self._log.dropped),
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
@@ -334,6 +344,7 @@
         self._forwarder.lose_time(seconds)
         self._keeper.lose_time(seconds)
         self._client.distrust_idle()
+        self._suspects.lose_time(seconds)
         self._desk.forget()
         self._fleet.start_anew(anyio.current_time())
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -18,6 +18,7 @@
     peer_link,
     placement,
     supervision,
+    suspect_exchange,
 )
 
 OPINIONS_PAUSE = 0.25
@@ -36,6 +37,10 @@
 SUCCESSORS = 2
 """VMs that are told what a dispatcher thinks."""
 
+HELPING_TASK = "tell VMs that start"
+HELPERS = 3
+"""VMs that tell one that starts which requests crash targets."""
+
 GREET_PAUSE = 1.0
 """Seconds between greetings of VMs that gave no answer."""
 
@@ -53,6 +58,9 @@
     placement: placement.Placement
     """Requests that wait for a target."""
 
+    suspects: suspect_exchange.SuspectExchange
+    """Requests that crash their targets."""
+
 
 class FleetTalk:
     """Talks with the other VMs.
@@ -119,6 +127,8 @@
                 self._hearers.desk.ask(message.vm, message.ask, now)
             case datagrams.Adopted():
                 self._hearers.desk.adopt(message.vm, message.held, now)
+            case datagrams.Suspects():
+                self._hearers.suspects.take(message)
             case messages.Report():
                 self._hearers.desk.report(message, now)
             case messages.Grant() | messages.Refuse() | messages.Wait():
@@ -127,11 +137,18 @@
     def _take_hello(self, hello: datagrams.Hello, now: float) -> None:
         if self._fleet.add(hello.member):
             self._log.write("vm_joined", peer=hello.member.vm)
+            if self._is_helper(now):
+                self._hearers.suspects.tell(hello.member)
         self._fleet.note_heard(hello.member.vm, now)
         self._hearers.keeper.take_position(hello.member.vm, hello.position)
         if hello.wants_answer:
             self._link.send(self._make_reply(), hello.member)
 
+    def _is_helper(self, now: float) -> bool:
+        """Return whether this VM is one of those that tell new ones what they lack."""
+        ranked = self._fleet.rank_heard(HELPING_TASK, now)
+        return self._fleet.own.vm in ranked[:HELPERS]
+
     def _make_reply(self) -> datagrams.Hello | datagrams.Leaving:
         """Return the answer to a greeting.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -62,6 +62,9 @@
     client: ports.TargetExchange
     """Sends to targets."""
 
+    suspects: ports.SuspectRecord
+    """Requests that crash their targets."""
+
     words: vocabulary.Vocabulary
     """Headers of the platform."""
 
@@ -116,6 +119,7 @@
             self._notes,
             tools.words,
             self._make_ticket,
+            tools.suspects,
             crash_check.CrashCheck().is_down,
             tools.check_time,
         )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -51,6 +51,7 @@
 DEADLINE = "deadline"
 OTHER_ANSWERED = "another target answered"
 OVERDUE = "overdue"
+QUARANTINED = "quarantined"
 STOPPING = "stopping"
 UNEXPECTED_ERROR = "unexpected error"
 
@@ -160,10 +161,15 @@
         self._parts.check_time()
         if self._incoming.caller.has_left and self._may_cancel():
             return self._plan.give_up()
+        if self._is_held():
+            return self._plan.give_up()
         place = await self._acquire()
         if place is None:
             return self._plan.give_up()
         self._parts.check_time()
+        if self._is_held():
+            self._report(place, messages.Outcome.ABANDONED, 0.0)
+            return self._plan.give_up()
         target = self._parts.registry.find_usable(place.grant.target_id)
         self._plan.start_attempt(place.grant.target_id)
         if target is None:
@@ -178,6 +184,15 @@
             return await self._attempt_with_backup(place, target, overdue_at)
         return await self._attempt(place, target, overdue_at)
 
+    def _is_held(self) -> bool:
+        """Return whether the request is kept from all targets, and note why."""
+        hold = self._parts.suspects.find_hold(self._fingerprint, anyio.current_time())
+        if hold is None:
+            return False
+        self._why = QUARANTINED
+        self._retry_at = hold
+        return True
+
     async def _acquire(self) -> _Place | None:
         """Return a slot, or None where the dispatcher refuses."""
         asked_at = anyio.current_time()
@@ -247,10 +262,15 @@
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
         has_crashed = False
+        self._parts.suspects.begin(self._fingerprint, started)
         try:
             attempt = await self._send(target, started)
             outcome, why = OUTCOMES[attempt.result], attempt.detail
             has_crashed = attempt.is_cut and await self._parts.is_down(target)
+            if has_crashed:
+                self._parts.suspects.note_crash(self._fingerprint, target, started)
+            elif attempt.is_success:
+                self._parts.suspects.note_answered(self._fingerprint)
         finally:
             now = anyio.current_time()
             if outcome is messages.Outcome.ABANDONED:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
@@ -41,6 +41,9 @@
     make_ticket: collections.abc.Callable[[], str]
     """Returns a name for an ask that is unique over the fleet."""
 
+    suspects: ports.SuspectRecord
+    """Requests that crash their targets."""
+
     is_down: collections.abc.Callable[[targets.Entry], collections.abc.Awaitable[bool]]
     """Returns whether a target refuses connections."""
 
--- /dev/null
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/suspect_codec.py
@@ -0,0 +1,77 @@
+"""Records of suspected requests as plain values for datagrams."""
+
+from __future__ import annotations
+
+import collections.abc
+import math
+
+from zinniastand_core.quarantine import suspect
+
+FINGERPRINT_LENGTH = 16
+MOST_NAME = 128
+"""Characters of a target's name."""
+
+Item = tuple[str, suspect.Suspect]
+
+
+def pack(items: collections.abc.Iterable[Item], now: float) -> list[object]:
+    """Return records as plain values, with times as ages."""
+    return [
+        [
+            fingerprint,
+            _pack_time(one.answered_at, now),
+            _pack_time(one.tried_at, now),
+            [
+                [crash.target, _find_age(crash.ended_at, now), crash.took]
+                for crash in one.crashes
+            ],
+        ]
+        for fingerprint, one in items
+    ]
+
+
+def unpack(rows: list, now: float) -> tuple[Item, ...]:
+    """Return the records in plain values.
+
+    Raises
+    ------
+    ValueError
+        If they hold none, or times that cannot be.
+    """
+    return tuple(_unpack(row, now) for row in rows)
+
+
+def _unpack(row: list, now: float) -> Item:
+    fingerprint, answered, tried, crashes = row
+    if not isinstance(fingerprint, str) or len(fingerprint) != FINGERPRINT_LENGTH:
+        raise ValueError("no fingerprint")
+    int(fingerprint, 16)
+    found = [_unpack_crash(one, now) for one in crashes[: suspect.MOST_CRASHES]]
+    answered_at, tried_at = _unpack_time(answered, now), _unpack_time(tried, now)
+    record = suspect.Suspect((), answered_at, tried_at)
+    return fingerprint, record.merge(suspect.Suspect(tuple(sorted(found))))
+
+
+def _unpack_crash(row: list, now: float) -> suspect.Crash:
+    target, age, took = row
+    if not isinstance(target, str) or len(target) > MOST_NAME:
+        raise ValueError("no target")
+    if not (0.0 <= age < math.inf and 0.0 <= took < math.inf):
+        raise ValueError("a crash in no time")
+    return suspect.Crash(now - age, took, target)
+
+
+def _pack_time(at: float, now: float) -> float | None:
+    return _find_age(at, now) if at > -math.inf else None
+
+
+def _find_age(at: float, now: float) -> float:
+    return max(0.0, now - at)
+
+
+def _unpack_time(age: float | None, now: float) -> float:
+    if age is None:
+        return -math.inf
+    if not 0.0 <= age < math.inf:
+        raise ValueError("a time that is still to come")
+    return now - age
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -82,6 +82,11 @@
     is_cut: bool = False
     """Whether the connection ended before the answer was whole."""
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the target ran the request to a good end."""
+        return self.answer is not None and self.answer.status in SUCCESS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -78,6 +78,7 @@
         ((make_attempt("silent"), make_answer(504, "deadline")), causes.Cause.SILENT),
         ((make_answer(504, "deadline"),), causes.Cause.DEADLINE),
         ((make_answer(503, "overloaded"),), causes.Cause.QUEUE),
+        ((make_answer(503, "quarantined"),), causes.Cause.QUARANTINED),
         (
             (make_attempt("shed"), make_answer(503, "retry-budget")),
             causes.Cause.RETRY_BUDGET,
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -83,5 +83,5 @@
                 vms[number % 2], "/same", f"r{number}", method="GET", body=b""
             )
             served += answer.status_code == 200
-            assert answer.status_code != 503
+            assert b"quarantined" not in answer.content
         assert served >= 30
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -8,6 +8,7 @@
 
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.quarantine import suspect
 from zinniastand_proxy.edge import datagrams, ports
 
 SHARD = shards.Shard("desk", "a", 1, 4)
@@ -24,6 +25,15 @@
     datagrams.Opinions(SHARD, (datagrams.Opinion("t1", 0.2, 1.5),), (("r", 0.2),)),
     datagrams.Asked("vm-1", ASK),
     datagrams.Adopted("vm-1", messages.Held(ASK, "t1")),
+    datagrams.Suspects(
+        (
+            (
+                "00112233aabbccdd",
+                suspect.Suspect((suspect.Crash(-3.0, 0.5, "t1:7"),), -20.0, -1.0),
+            ),
+            ("ffff2233aabbccdd", suspect.Suspect(answered_at=-2.0)),
+        )
+    ),
     messages.Grant("vm:1:2", "t1", 0.1, 0.2),
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -128,6 +128,25 @@
         return target_client.Attempt(script.result, answer, str(status))
 
 
+class Unsuspected:
+    """Knows of no request that crashes its targets."""
+
+    def find_hold(self, fingerprint: str, now: float) -> float | None:
+        """Return that it may go to targets."""
+        return None
+
+    def begin(self, fingerprint: str, now: float) -> None:
+        """Take in that a request is about to be sent."""
+
+    def note_crash(
+        self, fingerprint: str, target: targets.Entry, started_at: float
+    ) -> None:
+        """Take in a crash."""
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Take in an answer."""
+
+
 def make_route(work: services.Work, attempts: int) -> configuration.Route:
     return configuration.Route(
         name="r",
@@ -176,6 +195,7 @@
         notes,
         words.HEADERS,
         lambda: "ticket",
+        Unsuspected(),
         exchange.is_down,
         lambda: None,
     )
