Plant the doubled work where its check stands now

The soak's first planted bug names a line that an earlier change renamed, so that soak.plants ended with an error before it planted anything. A test plants each bug in a copy of the sources.

--- a/soak/plants.py
+++ b/soak/plants.py
@@ -59,7 +59,7 @@
         (
             Change(
                 f"{CORE}/forwarding/plan.py",
-                "return self.is_idempotent or not self._may_have_run",
+                "return self.is_idempotent or not self.may_have_run",
                 "return True",
             ),
         ),
