Let the soak crash targets, by themselves and by requests

A new kind of plan: targets crash and others take their place, and lookups that crash whatever runs them are sent again and again to any VM, among equal lookups of many callers. Two promises are judged: such a request runs three times more at most from 3 s after its third crash, and no other is quarantined. Both have a planted bug.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -35,6 +35,9 @@
 THINK = 0.08
 """Mean seconds between two requests of a caller."""
 
+REPEAT_PAUSE = 0.2
+"""Mean seconds until a request that crashes its targets is sent again."""
+
 KEPT_FOR = 25
 """Most requests on one connection."""
 
@@ -92,6 +95,28 @@
                 with anyio.CancelScope(shield=True):
                     await anyio.aclose_forcefully(stream)
 
+    async def repeat(self, path: str, stop: anyio.Event) -> None:
+        """Send one request again and again, to any VM, until `stop`."""
+        while not stop.is_set():
+            ready = [vm for vm in self._fleet if vm.is_ready]
+            vm = self._rng.choice(ready or list(self._fleet))
+            try:
+                stream = await anyio.connect_tcp(links.HOST, vm.callers)
+            except OSError:
+                await anyio.sleep(THINK)
+                continue
+            sent = self._make_sent(vm, path, 0)
+            self._book.sent.append(sent)
+            try:
+                with anyio.move_on_after(PATIENCE) as scope:
+                    await self._exchange(sent, stream)
+                if scope.cancelled_caught:
+                    self._see(sent, 0, False, b"")
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await anyio.aclose_forcefully(stream)
+            await anyio.sleep(self._rng.expovariate(1 / REPEAT_PAUSE))
+
     async def _use(
         self, vm: vms.Vm, stream: anyio.abc.SocketStream, stop: anyio.Event
     ) -> None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -119,6 +119,20 @@
     """When the store had taken it in."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashed:
+    """A target that crashed."""
+
+    target_id: str
+    """The target."""
+
+    path: str
+    """Path of the request that crashed it; empty where none did."""
+
+    at: float
+    """When."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbed:
     """A fault, from its begin to its end."""
@@ -158,5 +172,8 @@
     published: list[Published] = dataclasses.field(default_factory=list)
     """Versions."""
 
+    crashed: list[Crashed] = dataclasses.field(default_factory=list)
+    """Targets that crashed."""
+
     disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
     """Faults that are over."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -69,6 +69,7 @@
         self.port = 0
         self.trouble = Trouble.NONE
         self.first_back = b""
+        self._listening = anyio.CancelScope()
         self._open: set[anyio.abc.SocketStream] = set()
         self._silenced: set[anyio.abc.SocketStream] = set()
 
@@ -80,7 +81,8 @@
         async with listener:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started(self.port)
-            await listener.serve(self._pass)
+            with self._listening:
+                await listener.serve(self._pass)
 
     async def begin(self, trouble: Trouble) -> None:
         """Let a trouble begin."""
@@ -92,6 +94,10 @@
             for stream in list(self._open):
                 await _reset(stream)
 
+    def crash(self) -> None:
+        """Close all connections and take no more, as a process that ends does."""
+        self._listening.cancel()
+
     def end(self) -> None:
         """Let everything pass again; silenced connections stay silent."""
         self.trouble = Trouble.NONE
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,9 @@
     SERIES = "series"
     """All sorts and stops in series; callers send ahead of the answers."""
 
+    CRASHES = "crashes"
+    """All sorts; requests that crash whatever runs them, and targets that crash."""
+
 
 class Act(enum.StrEnum):
     """What a step does."""
@@ -76,6 +79,12 @@
     ABSENT = "absent"
     """A target is registered, and nobody listens at its address."""
 
+    CRASH = "crash"
+    """A target crashes by itself; another one takes its place later."""
+
+    CRASHING = "crashing"
+    """A request that crashes its targets is sent again and again to any VM."""
+
     CORNER = "corner"
     """A target takes long at times while the others of its service misbehave."""
 
@@ -110,6 +119,7 @@
     Kind.MIXED: MIXED,
     Kind.ROLLING: ROLLING,
     Kind.SERIES: {**MIXED, Act.ROLL: 2},
+    Kind.CRASHES: {**MIXED, Act.CRASH: 8, Act.CRASHING: 2},
 }
 
 ROLLING_FAULTS = ("slow", "uneven", "hang", "shed", "unsigned", "foreign", "error")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -6,6 +6,8 @@
 import collections.abc
 import dataclasses
 
+from zinniastand_proxy.edge import request_run
+
 from . import ledger
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -35,6 +37,15 @@
 TIME_LIMIT = 1.5
 """Time limit of all routes of the soak, in seconds."""
 
+CRASHING = "/safe/crash/"
+"""Begin of the paths of requests that crash whatever runs them."""
+
+CRASHES_TO_KNOW = 3
+"""Targets that one request may crash before it is kept from all others."""
+
+MOST_AFTER_CRASHES = 3
+"""Times that it may run after that."""
+
 RECOVERED_SHARE = 0.9
 """Share of requests that are served once all faults are over. The targets fail none."""
 
@@ -63,6 +74,8 @@
         _check_time_handed_on,
         _check_planned_stops,
         _check_given_up,
+        _check_crashing,
+        _check_denied,
     )
     found = [breach for check in checks for breach in check(book)]
     return [*found, *_check_recovery(book, calm_from)]
@@ -200,11 +213,14 @@
     sent = {one.request_id: one for one in book.sent}
     unplanned = [one for one in book.disturbed if one.kind not in PLANNED]
     links = [one for one in book.disturbed if one.kind == LINK_FAULT]
+    crashed_at = {one.target_id: one.at for one in book.crashed}
     for ended in book.ended:
         ran = ended.ran
         asked, seen = sent.get(ran.request_id), book.seen.get(ran.request_id)
         if not ended.is_cut or asked is None or seen is None:
             continue
+        if crashed_at.get(ran.target_id, ended.at) < ended.at:
+            continue  # The target itself broke off.
         if seen.has_left or seen.is_signed or seen.at >= asked.at + TIME_LIMIT:
             continue
         if _touches(book, {_name(asked.vm)}, asked.at, seen.at, unplanned):
@@ -215,10 +231,53 @@
             yield Breach("given-up", what)
 
 
+def _check_crashing(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """A request that has crashed three targets reaches hardly any more.
+
+    Counted is what VMs sent that were in touch, from some time after the third crash.
+    """
+    crashes: dict[str, list[float]] = collections.defaultdict(list)
+    for one in book.crashed:
+        if one.path:
+            crashes[one.path].append(one.at)
+    vms = {one.request_id: one.vm for one in book.sent}
+    for path, times in crashes.items():
+        if len(times) < CRASHES_TO_KNOW:
+            continue
+        due = sorted(times)[CRASHES_TO_KNOW - 1] + CALM_BEFORE + SLACK
+        late = [
+            ran
+            for ran in book.ran
+            if ran.path == path
+            and ran.at > due
+            and not _touches(
+                book, {_name(vms[ran.request_id])}, ran.at - CALM_BEFORE, ran.at
+            )
+        ]
+        if len(late) > MOST_AFTER_CRASHES:
+            what = f"{path} ran {len(late)} times more; {len(times)} crashed in all"
+            yield Breach("crashing", what)
+
+
+def _check_denied(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """Only requests that crash their targets are kept from them."""
+    guilty = {one.path for one in book.crashed if one.path}
+    paths = {one.request_id: one.path for one in book.sent}
+    for seen in book.seen.values():
+        is_kept = request_run.QUARANTINED.encode() in seen.body
+        if is_kept and paths[seen.request_id] not in guilty:
+            what = f"{seen.request_id}: {paths[seen.request_id]} was quarantined"
+            yield Breach("denied", what)
+
+
 def _check_recovery(
     book: ledger.Ledger, calm_from: float
 ) -> collections.abc.Iterator[Breach]:
-    sent = [one for one in book.sent if one.at >= calm_from + CALM_BEFORE]
+    sent = [
+        one
+        for one in book.sent
+        if one.at >= calm_from + CALM_BEFORE and not one.path.startswith(CRASHING)
+    ]
     ends = [book.seen.get(one.request_id) for one in sent]
     served = sum(1 for one in ends if one is not None and one.status == 200)
     asked = sum(1 for one in ends if one is None or not one.has_left)
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,13 +19,21 @@
 from . import callers, ledger, links, plan, promises, targets, vms
 
 TARGETS = {"desk": 4, "register": 3}
-UNNOTED = (plan.Act.REPLACE, plan.Act.PUBLISH, plan.Act.ROLL, plan.Act.ABSENT)
-"""Ordinary work of operators excuses nothing. The stops of a series are noted one by
-one."""
+UNNOTED = (
+    plan.Act.REPLACE,
+    plan.Act.PUBLISH,
+    plan.Act.ROLL,
+    plan.Act.ABSENT,
+    plan.Act.CRASH,
+    plan.Act.CRASHING,
+)
+"""Ordinary work of operators excuses nothing, nor does a crash of a target. The stops
+of a series are noted one by one."""
 
 SHARES_OF_SERIES = {
     plan.Kind.ROLLING: callers.PIPELINES,
     plan.Kind.SERIES: callers.SERIES,
+    plan.Kind.CRASHES: callers.SERIES,
 }
 """Share of requests that callers send further ones behind, where they send lookups."""
 
@@ -33,6 +41,9 @@
 ROLL_PAUSE = 0.4
 """Seconds between two stops of a series; each takes longer, so that they overlap."""
 
+BACK_AFTER = 1.0
+"""Seconds after which another target takes the place of one that crashed."""
+
 LEAVE_AFTER = 4.0
 """Seconds for which a draining target serves on."""
 
@@ -132,9 +143,11 @@
         if share is not None:
             paths = callers.LOOKUP_PATHS
             load = callers.Callers(self._vms, self._book, rng, paths, share)
+        self._load, self._stop = load, stop
         for vm in self._vms:
             group.start_soon(vm.follow_readiness)
         async with anyio.create_task_group() as clients:
+            self._clients = clients
             for _ in range(max(LEAST_CALLERS, self._shape.vms)):
                 clients.start_soon(load.run_one, stop)
             begin = anyio.current_time()
@@ -185,6 +198,11 @@
             case plan.Act.TARGET_LINK:
                 await _trouble(target.link, step)
                 return target.target_id
+            case plan.Act.CRASH:
+                target.crash()
+            case plan.Act.CRASHING:
+                path = f"{promises.CRASHING}{step.which}"
+                self._clients.start_soon(self._load.repeat, path, self._stop)
             case plan.Act.REPLACE:
                 await self._replace(target)
             case plan.Act.PUBLISH:
@@ -266,6 +284,7 @@
     async def _start_target(self, service: str) -> None:
         self._target_numbers += 1
         target = targets.Target(f"t{self._target_numbers}", service, self._book)
+        target.watch_crash(self._succeed)
         server = http_server.Server(target, configuration.Limits, _fail)
         port = await self._group.start(server.serve, links.HOST, 0)
         target.link = links.Link(port)
@@ -273,6 +292,17 @@
         self._targets.append(target)
         self._register(target, "ready")
 
+    def _succeed(self, crashed: targets.Target) -> None:
+        """Let another target take the place of one that crashed, after a while."""
+        if crashed in self._targets:
+            self._targets.remove(crashed)
+            self._group.start_soon(self._start_successor, crashed)
+
+    async def _start_successor(self, crashed: targets.Target) -> None:
+        await anyio.sleep(BACK_AFTER)
+        self._store.put(words.TARGETS_TOPIC, crashed.target_id, b"")
+        await self._start_target(crashed.service)
+
     def _register(self, target: targets.Target, state: str) -> None:
         address = f"{links.HOST}:{target.link.port}"
         value = encoding.encode_entry(target.service, address, targets.SLOTS, state)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import enum
 
 import anyio
@@ -20,6 +21,9 @@
 
 FOREVER = 3600.0
 
+CRASH_AFTER = 0.02
+"""Seconds of work after which a request crashes its target."""
+
 
 LONG_WORK = 1.0
 """The same for one piece of work of an uneven target."""
@@ -82,8 +86,25 @@
         self._fault = Fault.NONE
         self.link = links.Link(0)
         self.is_leaving = False
+        self._has_crashed = False
         self._began = 0
         self._book = book
+        self._on_crash: collections.abc.Callable[[Target], None] | None = None
+
+    def watch_crash(self, on_crash: collections.abc.Callable[[Target], None]) -> None:
+        """Call `on_crash` when this target crashes."""
+        self._on_crash = on_crash
+
+    def crash(self, path: str = "") -> None:
+        """End without a word; nobody listens at its address any more."""
+        if self._has_crashed:
+            return
+        self._has_crashed = self.is_leaving = True
+        now = anyio.current_time()
+        self._book.crashed.append(ledger.Crashed(self.target_id, path, now))
+        self.link.crash()
+        if self._on_crash is not None:
+            self._on_crash(self)
 
     def misbehave(self, fault: Fault) -> None:
         """Treat requests in another way from now on."""
@@ -110,6 +131,10 @@
             int(headers.get(words.HEADERS.time_left, b"0")) / words.MILLISECONDS,
         )
         self._book.ran.append(ran)
+        if ran.path.startswith(promises.CRASHING):
+            await anyio.sleep(CRASH_AFTER)
+            self.crash(ran.path)
+            await anyio.sleep(FOREVER)
         with anyio.CancelScope() as scope:
             incoming.caller.watch(scope, lambda: True)
             await anyio.sleep(self._find_time())
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -46,6 +46,43 @@
     assert report.served > 0.5 * report.sent
 
 
+def test_every_promise_holds_where_requests_crash_targets(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against a request that goes on to crash targets, and against requests that
+    # are kept from targets since these crash by themselves.
+    shape = run.Shape(plan.Kind.CRASHES)
+    report = run.play(SHORT_SEEDS[1], tmp_path, shape=shape)
+    assert report.breaches == ()
+    assert report.served > 0.5 * report.sent
+
+
+def make_crashing_book(runs: int) -> ledger.Ledger:
+    """Return what a request leaves that runs so often after its third crash."""
+    book = make_book()
+    path = f"{promises.CRASHING}1"
+    for number in range(3 + runs):
+        name, at = f"c{number}", 20.0 + number * (0.1 if number < 3 else 5.0)
+        book.sent.append(ledger.Sent(name, 0, False, path, b"", at))
+        target = f"t{number}"
+        book.ran.append(ledger.Ran(name, target, "desk", path, b"", 200, at))
+        book.crashed.append(ledger.Crashed(target, path, at))
+    return book
+
+
+def test_request_that_goes_on_to_crash_targets_is_a_breach() -> None:
+    assert "crashing" not in name_breaches(make_crashing_book(3))
+    assert "crashing" in name_breaches(make_crashing_book(4))
+
+
+def test_quarantine_of_a_request_that_crashes_nothing_is_a_breach() -> None:
+    book = make_book()
+    book.ran.clear()
+    body = b'{"reason": "quarantined"}'
+    book.seen["r1"] = ledger.Seen("r1", 10.1, 503, False, body)
+    assert "denied" in name_breaches(book)
+
+
 def test_target_that_is_given_time_its_caller_no_longer_has_is_a_breach() -> None:
     book = make_book()
     late = dataclasses.replace(book.ran[0], at=10.9, time_left=1.5)
