Tell in the logs which targets named a limit

Hypotheses: nobody reads the limit that a target names; or VMs apply it one by one; or a change of dispatcher loses it. The logs could not tell whether a limit was known at all.

An attempt's line names the limit that its target's answer named, and zinniactl explain lists the targets with one and the most attempts that they got in four seconds since. A limit that is no decimal number is counted and tells nothing. No decision depends on it yet. Measured: the tests only.

--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
@@ -37,6 +37,14 @@
     shed: int = 0
     """Attempts that it turned away."""
 
+    limit: float | None = None
+    """Least limit that it has named, in requests a second; None where it named none."""
+
+    by_second: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    """Attempts that ended in each second since it first named one."""
+
 
 @dataclasses.dataclass(slots=True)
 class CrashRow:
@@ -134,6 +142,10 @@
             if len(self.targets) >= MOST_NAMES:
                 return
             row = self.targets[attempt.target] = TargetRow(attempt.service)
+        if attempt.limit is not None:
+            row.limit = min(attempt.limit, row.limit or attempt.limit)
+        if row.limit is not None:
+            row.by_second[attempt.second] += 1
         if attempt.outcome == "shed":
             row.shed += 1
         if attempt.outcome in ("good", "failed", "silent"):
@@ -191,6 +203,8 @@
         read_number(record, "ms"),
         str(record.get("fingerprint", "")),
         record.get("crashed") is True,
+        read_number(record, "limit") if "limit" in record else None,
+        int(read_number(record, "time")),
     )
 
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
@@ -111,6 +111,12 @@
     has_crashed: bool = False
     """Whether the target crashed meanwhile."""
 
+    limit: float | None = None
+    """Requests a second that the target takes; None where it names no limit."""
+
+    second: int = 0
+    """When it ended, in whole seconds."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -77,6 +77,13 @@
     if crashes:
         names = ["request at crashed targets", "crashed", "sent since", "answered"]
         parts.append(output.format_table(names, crashes))
+    limits = [
+        [row.target, row.limit, f"{row.busiest:.1f}"]
+        for row in summary.list_limits(found)
+    ]
+    if limits:
+        names = ["target with a limit", "a second", "busiest seconds"]
+        parts.append(output.format_table(names, limits))
     if calls:
         parts.append(output.format_table(["call to the store", "", "calls"], calls))
     return "\n\n".join(parts)
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -10,6 +11,9 @@
 MOST_ROWS = 20
 """Targets and VMs that are named; those that failed most."""
 
+SPAN = 4
+"""Whole seconds over which attempts at a target with a limit are counted."""
+
 NOISE = 2.0
 """Standard deviations of a count below which two runs do not differ."""
 
@@ -64,6 +68,18 @@
     """Those that were answered: whatever crashed the targets, it was not this."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitRow:
+    """A target that named a limit."""
+
+    target: str
+    limit: float
+    """Least limit that it has named, in requests a second."""
+
+    busiest: float
+    """Attempts a second in its busiest seconds since it first named one."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
     """One cause in two runs."""
@@ -116,6 +132,23 @@
     return sorted(rows, key=lambda row: -row.crashed)[:MOST_ROWS]
 
 
+def list_limits(found: account.Account) -> list[LimitRow]:
+    """Return the targets that named a limit, those furthest beyond it first."""
+    rows = [
+        LimitRow(name, row.limit, _find_busiest(row.by_second) / SPAN)
+        for name, row in found.targets.items()
+        if row.limit is not None
+    ]
+    return sorted(rows, key=lambda row: row.limit - row.busiest)[:MOST_ROWS]
+
+
+def _find_busiest(by_second: collections.Counter[int]) -> int:
+    """Return the most attempts in any span of some whole seconds."""
+    return max(
+        sum(by_second[second + n] for n in range(SPAN)) for second in list(by_second)
+    )
+
+
 def describe(found: account.Account) -> dict[str, object]:
     """Return all that there is to say, as values that JSON holds."""
     return {
@@ -138,6 +171,7 @@
         "by_service": _name_keys(found.by_service),
         "by_data_centre": _name_keys(found.by_place),
         "by_vm": _name_keys(found.by_vm),
+        "limits": [dataclasses.asdict(row) for row in list_limits(found)],
         "crashes": [dataclasses.asdict(row) for row in list_crashes(found)],
         "targets": [dataclasses.asdict(row) for row in list_targets(found)],
         "versions": {
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -329,6 +329,7 @@
             ("zinniastand_target_connections_opened_total", self._client.opened),
             ("zinniastand_target_answers_foreign_total", self._client.foreign),
             ("zinniastand_target_answers_unnamed_total", self._client.unnamed),
+            ("zinniastand_target_limits_unreadable_total", self._client.odd_limits),
             ("zinniastand_configuration_version", self._configured.version),
             ("zinniastand_requests_quarantined", self._suspects.count_quarantined()),
             ("zinniastand_log_lines_dropped", self._log.dropped),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import traceback
 
 from zinniastand_core.deployment import configuration
@@ -48,6 +49,10 @@
     has_crashed: bool = False
     """Whether the target crashed while it held the request."""
 
+    rate_limit: float | None = None
+    """Requests a second that the target takes, infinite where its answer names none;
+    None where no answer tells."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -116,7 +121,7 @@
             outcome=attempt.outcome.value,
             why=attempt.why,
             ms=round(attempt.took * MILLISECONDS),
-            **({"crashed": True} if attempt.has_crashed else {}),
+            **_describe_target(attempt),
         )
         self._counters.count(
             "zinniastand_attempts_total", metrics.label(outcome=attempt.outcome.value)
@@ -151,3 +156,13 @@
         self._log.write(
             "unexpected_error", request=request_id, trace=text[-MOST_TRACE:]
         )
+
+
+def _describe_target(attempt: Attempt) -> dict[str, log_lines.Value]:
+    """Return what an attempt tells of its target's state, where that is unusual."""
+    fields: dict[str, log_lines.Value] = {}
+    if attempt.has_crashed:
+        fields["crashed"] = True
+    if attempt.rate_limit is not None and attempt.rate_limit < math.inf:
+        fields["limit"] = attempt.rate_limit
+    return fields
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -79,6 +79,26 @@
     """Seconds until it was granted."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ended:
+    """How an attempt ended."""
+
+    outcome: messages.Outcome
+    """What it means for its target."""
+
+    why: str
+    """What ended it."""
+
+    took: float
+    """Seconds that it took."""
+
+    has_crashed: bool
+    """Whether the target crashed meanwhile."""
+
+    rate_limit: float | None
+    """Requests a second that the target takes; None where nothing tells."""
+
+
 class Run:
     """The run of one request.
 
@@ -261,11 +281,12 @@
         """Send to one target; take in, report and note how that ended."""
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
-        has_crashed = False
+        has_crashed, rate_limit = False, None
         self._parts.suspects.begin(self._fingerprint, started)
         try:
             attempt = await self._send(target, started)
             outcome, why = OUTCOMES[attempt.result], attempt.detail
+            rate_limit = attempt.rate_limit
             has_crashed = attempt.is_cut and await self._parts.is_down(target)
             if has_crashed:
                 self._parts.suspects.note_crash(self._fingerprint, target, started)
@@ -277,7 +298,8 @@
                 self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
             self._report(place, outcome, now - started)
-            self._note_attempt(place, outcome, why, now - started, has_crashed)
+            ended = _Ended(outcome, why, now - started, has_crashed, rate_limit)
+            self._note_attempt(place, ended)
         return self._take(attempt, target, now)
 
     async def _send(self, target: targets.Entry, now: float) -> target_client.Attempt:
@@ -340,14 +362,7 @@
             )
         )
 
-    def _note_attempt(
-        self,
-        place: _Place,
-        outcome: messages.Outcome,
-        why: str,
-        took: float,
-        has_crashed: bool,
-    ) -> None:
+    def _note_attempt(self, place: _Place, ended: _Ended) -> None:
         self._parts.notes.note_attempt(
             request_notes.Attempt(
                 self._request_id,
@@ -355,10 +370,11 @@
                 self._service,
                 place.grant,
                 place.waited,
-                outcome,
-                why,
-                took,
-                has_crashed,
+                ended.outcome,
+                ended.why,
+                ended.took,
+                ended.has_crashed,
+                ended.rate_limit,
             )
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -5,6 +5,8 @@
 import collections
 import collections.abc
 import dataclasses
+import math
+import re
 import select
 import socket
 
@@ -55,6 +57,9 @@
 """Method whose answers end elsewhere than all others: at their head, whatever length it
 states. A late answer to it, or before it, would be read to the wrong end."""
 
+RATE = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+"""A decimal number without a sign."""
+
 LEAST_SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 MISPLACED_STATUS = 421
@@ -79,6 +84,10 @@
     """Whether the target may have begun on it: some of an answer came, or some time
     passed."""
 
+    rate_limit: float | None = None
+    """Requests a second that the target takes, by its answer; infinite where the answer
+    names no limit, None where there is no answer to tell."""
+
     is_cut: bool = False
     """Whether the connection ended before the answer was whole."""
 
@@ -131,6 +140,8 @@
         Connections that were tried to open.
     foreign : int
         Answers to other requests that were read past.
+    odd_limits : int
+        Limits of targets that are no number.
     unnamed : int
         Answers on kept connections that name no request. Each is taken for the answer
         to the present request, which nothing proves.
@@ -142,6 +153,7 @@
         self.opened = 0
         self.foreign = 0
         self.unnamed = 0
+        self.odd_limits = 0
 
     async def attempt(
         self,
@@ -232,7 +244,9 @@
         dropped_by = anyio.current_time() + DROPPED_WITHIN
         try:
             answer = await exchange.run()
-            attempt = self._judge(answer)
+            attempt = dataclasses.replace(
+                self._judge(answer), rate_limit=self._read_limit(answer)
+            )
             if not connection.is_new and answer.find(self._words.request_id) is None:
                 self.unnamed += 1
             is_kept = (
@@ -279,6 +293,16 @@
             return Attempt(plan.Result.ERROR, answer, str(status))
         return Attempt(plan.Result.ANSWERED, answer, str(status))
 
+    def _read_limit(self, answer: http_exchange.Answer) -> float | None:
+        """Return the limit that an answer names; None where that is no number."""
+        value = answer.find(self._words.rate_limit)
+        if value is None:
+            return math.inf
+        if RATE.fullmatch(value.strip()) is None:
+            self.odd_limits += 1
+            return None
+        return float(value)
+
     async def _keep(
         self,
         target: targets.Entry,
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/vocabulary.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/vocabulary.py
@@ -24,5 +24,9 @@
     credentials: tuple[bytes, ...]
     """On a caller's request: as whom it asks."""
 
+    rate_limit: bytes
+    """On a target's answer: the requests a second that it takes from all VMs together,
+    for as long as its answers say so."""
+
     not_run: bytes
     """On a target's answer: it did not run the request."""
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -169,6 +169,16 @@
     assert (row.fingerprint, row.crashed, row.sent, row.answered) == ("aa", 3, 3, 0)
 
 
+def test_target_that_gets_more_than_its_limit_is_told() -> None:
+    found = account.Account()
+    for second in range(100, 110):
+        for _ in range(3):
+            named = {"limit": 1.5} if second >= 102 else {}
+            found.take(json.loads(make_attempt("good", time=second, **named)))
+    [row] = summary.list_limits(found)
+    assert (row.target, row.limit, row.busiest) == ("t1", 1.5, 3.0)
+
+
 def run(*arguments: object) -> typer.testing.Result:
     return RUNNER.invoke(cli.app, ["explain", *map(str, arguments)])
 
