--- a/soak/plants.py
+++ b/soak/plants.py
@@ -125,9 +125,12 @@
         plan.Kind.CRASHES,
     ),
     Plant(
-        "a request is kept from targets after its first crash",
+        "a request is kept from targets after one crash, answered or not",
         "denied",
-        (Change(SUSPECT, f"{LIMIT} = 3", f"{LIMIT} = 1"),),
+        (
+            Change(SUSPECT, f"{LIMIT} = 3", f"{LIMIT} = 1"),
+            Change(f"{EDGE}/request_run.py", "elif attempt.is_success:", "elif False:"),
+        ),
         plan.Kind.CRASHES,
     ),
 )
