Keep the limits that targets name, by all VMs together

Cause: nobody read the header. The class is that of the requests that crash their targets: a fact that holds for all VMs together and that each learns a part of.

Change: reports to a shard's dispatcher carry the rate that the answer named. The dispatcher paces each such target; work goes on to others, and where there are none the queue's bound counts the target by its rate. Opinions tell the rate, and when the next request is due, to those who may dispatch next; VMs also keep what answers to them named. Dispatchers that hear each other share a rate, and VMs that decide alone take their part of the fleet from a random moment on. A limit lifts with an answer that names none, if its request was sent after the limit was last named.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from ..deployment import targets
@@ -26,6 +27,7 @@
     mechanisms,
     messages,
     pool,
+    rate_limit,
     retry_window,
     service_level,
     waiting,
@@ -77,6 +79,8 @@
         Spreads the times at which refused callers come back.
     policy : mechanisms.Mechanisms, optional
         Which parts of the policy are at work.
+    read_share : callable, optional
+        Returns which part of a target's rate limit this dispatcher may use.
     """
 
     def __init__(
@@ -85,12 +89,14 @@
         retries: retry_window.RetryWindow,
         rng: random.Random,
         policy: mechanisms.Mechanisms = mechanisms.ALL,
+        read_share: collections.abc.Callable[[], float] = lambda: 1.0,
     ) -> None:
         self.pool = pool.Pool(kinds, policy)
         self._policy = policy
         self._kinds = kinds
         self._retries = retries
         self._rng = rng
+        self._read_share = read_share
         self._grants: dict[str, _Grant] = {}
         self._line = waiting.WaitingLine(self.pool, kinds, policy)
         self._level = service_level.ServiceLevel()
@@ -148,6 +154,7 @@
         state = self.pool.find(target_id)
         if state is not None:
             state.tickets.discard(report.ticket)
+            self._learn_limit(state, granted, report.rate_limit, now)
             self._learn(state, granted, report, now)
         return self._serve_queue(now)
 
@@ -211,6 +218,8 @@
         if ask.may_retry and offer.doubt > 0:
             state.note_trial(now)
         granted = self._start(ask, state, now)
+        if state.limit is not None:
+            state.limit.take(self._read_share(), now)
         return messages.Grant(
             ask.ticket,
             offer.target_id,
@@ -259,6 +268,24 @@
             case messages.Outcome.ABANDONED:
                 pass
 
+    def _learn_limit(
+        self,
+        state: pool.TargetState,
+        granted: _Grant | None,
+        rate: float | None,
+        now: float,
+    ) -> None:
+        """Learn how many requests a target takes, if its answer tells."""
+        if rate is None:
+            return
+        if math.isinf(rate):
+            if granted is not None:
+                state.lift_limit(granted.started_at)
+        elif state.limit is None:
+            state.limit = rate_limit.begin(rate, now, self._read_share(), self._rng)
+        else:
+            state.limit.use(rate, now)
+
     def _learn_time(
         self, state: pool.TargetState, kind: str, took: float, now: float
     ) -> None:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -158,6 +158,10 @@
     vm: str
     """The VM that tried."""
 
+    rate_limit: float | None = None
+    """Requests a second that the target takes, infinite where its answer names none;
+    None where no answer tells."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Held:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -18,7 +18,7 @@
 import dataclasses
 
 from ..deployment import targets
-from . import beliefs, mechanisms, messages, work_times
+from . import beliefs, mechanisms, messages, rate_limit, work_times
 
 LATE_PRICE = 0.2
 """Price of a late answer against a failed one. A late answer still serves its caller;
@@ -144,6 +144,7 @@
         self.belief = beliefs.Belief(rates, now, failing)
         self.slowness = work_times.Slowness(now)
         self.tickets: set[str] = set()
+        self.limit: rate_limit.RateLimit | None = None
         self._granted_at = now
         self._paused_until = 0.0
         self._trial_at = 0.0
@@ -155,8 +156,25 @@
 
     def is_free(self, now: float) -> bool:
         """Return whether it has a slot for one more request."""
+        if self.limit is not None and not self.limit.has_room(now):
+            return False
         return len(self.tickets) < self.entry.slots and now >= self._paused_until
 
+    def lift_limit(self, sent_at: float) -> None:
+        """Take in that the answer to a request that was sent then names no limit.
+
+        Answers come from many VMs and may be heard in another order. So a limit lifts
+        only by a request that was sent after it was last named.
+        """
+        if self.limit is not None and sent_at >= self.limit.named_at:
+            self.limit = None
+
+    def count_working_slots(self, mean: float) -> float:
+        """Return the slots that it can use, for work that takes so long on average."""
+        if self.limit is None:
+            return self.entry.slots
+        return min(self.entry.slots, self.limit.rate * mean)
+
     def is_usable(self, now: float) -> bool:
         """Return whether it can be expected to take work at all."""
         return now >= self._paused_until or self._paused_until - now <= SHED_PAUSE
@@ -264,7 +282,7 @@
         self._states: dict[str, TargetState] = {}
         self._summed_until = 0.0
         self._capacity = 0.0
-        self._proved_slots = 0
+        self._proved_slots = 0.0
 
     def update(
         self, entries: collections.abc.Iterable[targets.Entry], now: float
@@ -328,7 +346,7 @@
         """Return whether any target has a free slot."""
         return any(state.is_free(now) for state in self._states.values())
 
-    def count_proved_slots(self, now: float) -> int:
+    def count_proved_slots(self, now: float) -> float:
         """Return the slots of targets that are little in doubt."""
         self._sum(now)
         return self._proved_slots
@@ -347,12 +365,13 @@
             return
         self._summed_until = now + SUMMARY_FOR
         proved, doubtful = 0.0, 0.0
-        self._proved_slots = 0
+        mean = self._kinds.find_overall_mean()
+        self._proved_slots = 0.0
         for state in self._states.values():
             if not state.is_usable(now):
                 continue
             doubt = state.find_doubt(now)
-            slots = state.entry.slots
+            slots = state.count_working_slots(mean)
             working = slots * (1 - doubt) / max(1.0, state.find_slowness(now))
             if doubt < DOUBT_LIMIT:
                 self._proved_slots += slots
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/work_times.py
@@ -40,6 +40,12 @@
         """Return the mean time in seconds."""
         return self._means.get(kind, FIRST_GUESS)
 
+    def find_overall_mean(self) -> float:
+        """Return the mean time over all kinds, each counted alike."""
+        if not self._means:
+            return FIRST_GUESS
+        return sum(self._means.values()) / len(self._means)
+
     def is_known(self, kind: str) -> bool:
         """Return whether the mean rests on enough samples to judge a target by it."""
         return self._samples.get(kind, 0) >= GUESS_WEIGHT + KNOWN_AFTER
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -125,6 +125,12 @@
     slowness: float
     """Times that it takes longer than usual."""
 
+    rate_limit: float | None = None
+    """Requests a second that it takes from all VMs; None where it names no limit."""
+
+    due_in: float = 0.0
+    """Seconds until the next request is due at that rate."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opinions:
@@ -139,6 +145,9 @@
     times: tuple[tuple[str, float], ...]
     """Mean seconds of each kind of work."""
 
+    vm: str = ""
+    """The VM that dispatches; empty where an earlier version does not tell."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
@@ -173,7 +182,7 @@
 MOST_NAMES = 256
 """Names of targets in one list of an ask; a VM leaves out fewer."""
 
-REPORT_FIELDS = ("ticket", "target_id", "outcome", "took", "vm")
+REPORT_FIELDS = ("ticket", "target_id", "outcome", "took", "vm", "rate_limit")
 """Fields of a report as they follow its shard."""
 
 Message = (
@@ -246,9 +255,9 @@
         case VersionNotice():
             return ["v", message.vm, message.version]
         case Opinions():
-            items = [list(dataclasses.astuple(one)) for one in message.items]
+            items = [_pack_opinion(one) for one in message.items]
             times = [list(one) for one in message.times]
-            return ["o", *_pack_shard(message.shard), items, times]
+            return ["o", *_pack_shard(message.shard), items, times, message.vm]
         case Asked():
             return ["a", message.vm, *_pack_ask(message.ask, now)]
         case Adopted():
@@ -289,7 +298,7 @@
         case "o":
             items = tuple(Opinion(*one) for one in rest[4])
             times = tuple((name, seconds) for name, seconds in rest[5])
-            return Opinions(shards.Shard(*rest[:4]), items, times)
+            return Opinions(shards.Shard(*rest[:4]), items, times, *rest[6:])
         case "a":
             return Asked(rest[0], _unpack_ask(rest[1:], now))
         case "s":
@@ -312,11 +321,18 @@
             raise UnreadableError(f"unknown kind {kind!r:.20}")
 
 
+def _pack_opinion(opinion: Opinion) -> list[object]:
+    fields = [opinion.target_id, opinion.failing, opinion.slowness]
+    if opinion.rate_limit is None:
+        return fields
+    return [*fields, opinion.rate_limit, opinion.due_in]
+
+
 def _unpack_report(fields: list) -> messages.Report:
-    ticket, target_id, outcome, took, vm = fields[4:]
+    ticket, target_id, outcome, took, vm, *told = fields[4:]
     shard = shards.Shard(*fields[:4])
     return messages.Report(
-        ticket, shard, target_id, messages.Outcome(outcome), took, vm
+        ticket, shard, target_id, messages.Outcome(outcome), took, vm, *told
     )
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -17,12 +17,14 @@
 from zinniastand_core.dispatch import (
     dispatcher,
     messages,
+    pool,
+    rate_limit,
     retry_window,
     shards,
     work_times,
 )
 
-from . import datagrams, members
+from . import datagrams, members, named_limits
 
 Deliver = collections.abc.Callable[[str, messages.Decision], None]
 
@@ -101,6 +103,7 @@
         self._times: dict[str, work_times.KindTimes] = {}
         self._askers: dict[str, tuple[str, float]] = {}
         self._alone_at: dict[shards.Shard, float] = {}
+        self._limits = named_limits.NamedLimits(registry)
         self._heard: dict[str, tuple[datagrams.Opinion, float]] = {}
         self._divisions: dict[str, tuple[shards.Shard, ...]] = {}
 
@@ -132,10 +135,13 @@
     def ask(self, vm: str, ask: messages.Ask, now: float) -> None:
         """Take in an ask of a VM; decisions go out through `deliver`."""
         self._askers[ask.ticket] = (vm, now + KEEP_ASKER)
+        self._used_at[ask.shard] = now
+        known = self._open(ask.shard, now)
         if vm != self._fleet.own.vm:
+            if self._find_share(ask.shard) < 1.0:
+                _use_whole_limits(known, now)
             self._alone_at[ask.shard] = now + ALONE_AFTER
-        self._used_at[ask.shard] = now
-        self._send(self._open(ask.shard, now).ask(ask, now))
+        self._send(known.ask(ask, now))
 
     def report(self, report: messages.Report, now: float) -> None:
         """Take in how an attempt went."""
@@ -156,6 +162,7 @@
             service: shards.divide(service, entries)
             for service, entries in by_service.items()
         }
+        self._limits.forget_gone(now)
         for shard, known in self._dispatchers.items():
             self._send(known.update_targets(self._list_targets(shard, now), now))
 
@@ -185,17 +192,10 @@
         """Return what the dispatcher of a shard thinks of its targets."""
         known = self._dispatchers.get(shard)
         states = known.pool.list_states() if known is not None else []
-        items = tuple(
-            datagrams.Opinion(
-                state.entry.target_id,
-                round(state.belief.find_failing(now), 3),
-                round(state.slowness.find(now), 2),
-            )
-            for state in states
-        )
+        items = tuple(_make_opinion(state, now) for state in states)
         times = self._times.get(shard.service)
         means = tuple(times.means.items()) if times is not None else ()
-        return datagrams.Opinions(shard, items, means)
+        return datagrams.Opinions(shard, items, means, self._fleet.own.vm)
 
     def take_opinions(self, opinions: datagrams.Opinions, now: float) -> None:
         """Take in what another dispatcher thinks.
@@ -205,6 +205,7 @@
         shard = opinions.shard
         for one in opinions.items:
             self._heard[one.target_id] = (one, now)
+            self._take_limit(one, opinions.vm, now)
         known = self._dispatchers.get(shard)
         if known is not None and known.in_flight:
             return
@@ -212,7 +213,41 @@
         for kind, seconds in opinions.times:
             times.set(kind, seconds)
         if known is not None:
-            self._tell_heard(known, now)
+            self._tell_heard(known, shard, now)
+
+    def note_limit(self, target_id: str, rate: float, now: float) -> None:
+        """Take in which limit an answer to this VM has named, infinite for none."""
+        self._limits.note(target_id, rate, now, now)
+
+    def _take_limit(self, opinion: datagrams.Opinion, vm: str, now: float) -> None:
+        """Take in the limit that another dispatcher knows of.
+
+        One that dispatches here as well shares it. Only an answer lifts a limit here:
+        another dispatcher may not have heard of it yet.
+        """
+        if opinion.rate_limit is None:
+            return
+        due_at = now + opinion.due_in
+        self._limits.note(opinion.target_id, opinion.rate_limit, due_at, now)
+        for shard, known in self._dispatchers.items():
+            state = known.pool.find(opinion.target_id)
+            if state is not None:
+                self._give_limit(state, shard, now)
+                if state.limit is not None and known.in_flight:
+                    state.limit.note_other(vm, now)
+
+    def _give_limit(
+        self, state: pool.TargetState, shard: shards.Shard, now: float
+    ) -> None:
+        """Let a dispatcher know of a limit that it has not heard of by itself."""
+        limit = self._limits.find(state.entry, now)
+        if limit is None or state.limit is not None:
+            return
+        share = self._find_share(shard)
+        if share < 1.0:
+            state.limit = rate_limit.begin(limit.rate, now, share, self._rng)
+        else:
+            state.limit = rate_limit.RateLimit(limit.rate, limit.due_at, now)
 
     def _open(self, shard: shards.Shard, now: float) -> dispatcher.Dispatcher:
         known = self._dispatchers.get(shard)
@@ -223,19 +258,26 @@
                 lambda: self._find_slack(shard),
                 self._budget.window,
             )
-            known = dispatcher.Dispatcher(times, window, self._rng)
+            known = dispatcher.Dispatcher(
+                times,
+                window,
+                self._rng,
+                read_share=lambda: self._find_share(shard),
+            )
             self._dispatchers[shard] = known
             self._windows[shard] = window
             self._used_at[shard] = self._opened_at[shard] = now
             known.update_targets(self._list_targets(shard, now), now)
-            self._tell_heard(known, now)
+            self._tell_heard(known, shard, now)
         return known
 
     def _list_targets(self, shard: shards.Shard, now: float) -> list[targets.Entry]:
         usable = self._registry.list_usable(shard.service, now)
         return [entry for entry in usable if shard.covers(entry)]
 
-    def _tell_heard(self, known: dispatcher.Dispatcher, now: float) -> None:
+    def _tell_heard(
+        self, known: dispatcher.Dispatcher, shard: shards.Shard, now: float
+    ) -> None:
         """Let a dispatcher begin with what others thought of its targets."""
         self._heard = {
             name: (one, at)
@@ -243,6 +285,7 @@
             if at > now - KEEP_OPINIONS
         }
         for state in known.pool.list_states():
+            self._give_limit(state, shard, now)
             heard = self._heard.get(state.entry.target_id)
             if heard is not None:
                 state.set_opinion(heard[0].failing, heard[0].slowness, heard[1])
@@ -257,13 +300,41 @@
         now = anyio.current_time()
         is_new = now - self._opened_at.get(shard, now) < self._budget.window
         share = FIRST_SHARE if is_new else SHARE_OF_SLACK
-        own_part = share * self._budget.slack / count
-        if self._alone_at.get(shard, 0.0) > now:
-            return own_part
-        return own_part / self._fleet.count()
+        return share * self._budget.slack / count * self._find_share(shard)
+
+    def _find_share(self, shard: shards.Shard) -> float:
+        """Return this dispatcher's part of what the fleet may do.
+
+        One that no other VM asks decides for its own VM alone, and so may all others.
+        """
+        if self._alone_at.get(shard, 0.0) > anyio.current_time():
+            return 1.0
+        return 1.0 / self._fleet.count()
 
     def _send(self, decisions: list[messages.Decision]) -> None:
         for decision in decisions:
             asker = self._askers.get(decision.ticket)
             if asker is not None:
                 self._deliver(asker[0], decision)
+
+
+def _use_whole_limits(known: dispatcher.Dispatcher, now: float) -> None:
+    """Let a dispatcher that decides for others as well use what its targets take."""
+    for state in known.pool.list_states():
+        if state.limit is not None:
+            state.limit.use_whole(now)
+
+
+def _make_opinion(state: pool.TargetState, now: float) -> datagrams.Opinion:
+    """Return what a dispatcher thinks of a target."""
+    opinion = datagrams.Opinion(
+        state.entry.target_id,
+        round(state.belief.find_failing(now), 3),
+        round(state.slowness.find(now), 2),
+    )
+    if state.limit is None:
+        return opinion
+    due_in = max(0.0, state.limit.due_at - now)
+    return dataclasses.replace(
+        opinion, rate_limit=state.limit.rate, due_in=round(due_in, 2)
+    )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -175,6 +175,9 @@
         waiting for a slot that has been free for long.
         """
         self._held.pop(report.ticket, None)
+        if self._desk is not None and report.rate_limit is not None:
+            now = anyio.current_time()
+            self._desk.note_limit(report.target_id, report.rate_limit, now)
         usual = [_Granter(self._fleet.own.vm, report.shard)]
         for granter in self._granters.pop(report.ticket, usual):
             told = dataclasses.replace(report, shard=granter.shard)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -297,7 +297,7 @@
             if outcome is messages.Outcome.ABANDONED:
                 self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
-            self._report(place, outcome, now - started)
+            self._report(place, outcome, now - started, rate_limit)
             ended = _Ended(outcome, why, now - started, has_crashed, rate_limit)
             self._note_attempt(place, ended)
         return self._take(attempt, target, now)
@@ -353,12 +353,24 @@
     def _name_deadline(self) -> str:
         return STOPPING if self._is_ending else DEADLINE
 
-    def _report(self, place: _Place, outcome: messages.Outcome, took: float) -> None:
+    def _report(
+        self,
+        place: _Place,
+        outcome: messages.Outcome,
+        took: float,
+        rate_limit: float | None = None,
+    ) -> None:
         """Give the slot back, and tell how the attempt went."""
         ask, target_id = place.ask, place.grant.target_id
         self._parts.slots.report(
             messages.Report(
-                ask.ticket, ask.shard, target_id, outcome, took, self._parts.vm
+                ask.ticket,
+                ask.shard,
+                target_id,
+                outcome,
+                took,
+                self._parts.vm,
+                rate_limit,
             )
         )
 
--- /dev/null
+++ b/tests/dispatch/test_rate_limit.py
@@ -0,0 +1,156 @@
+"""Rates that targets name, as dispatchers keep them."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+
+from zinniastand_core.deployment import targets
+from zinniastand_core.dispatch import (
+    beliefs,
+    dispatcher,
+    messages,
+    pool,
+    rate_limit,
+    retry_window,
+    shards,
+    work_times,
+)
+
+WINDOW = 4.0
+STEP = 0.01
+SHARD = shards.Shard("desk")
+
+
+def make_entry(name: str, slots: int = 4) -> targets.Entry:
+    phase = targets.Phase.READY
+    return targets.Entry(name, "desk", "h", 80, "a", slots, phase, 1, 0.0, 1)
+
+
+def take_all(
+    limits: list[rate_limit.RateLimit], begin: float, end: float, share: float = 1.0
+) -> list[float]:
+    """Let each dispatcher send whenever there is room; return when."""
+    times: list[float] = []
+    for number in range(int(begin / STEP), int(end / STEP)):
+        now = number * STEP
+        for limit in limits:
+            if limit.has_room(now):
+                limit.take(share, now)
+                times.append(now)
+    return times
+
+
+def find_busiest(times: list[float]) -> int:
+    return max(sum(begin <= at < begin + WINDOW for at in times) for begin in times)
+
+
+def find_most(rate: float) -> float:
+    return 1.5 * rate * WINDOW + 5
+
+
+@hypothesis.given(st.sampled_from([0.0, 0.1, 0.5, 1.0, 3.8, 20.0]))
+def test_busiest_window_stays_within_what_the_target_takes(rate: float) -> None:
+    limit = rate_limit.RateLimit(rate, 0.0, 0.0)
+    times = take_all([limit], 0.0, 30.0)
+    assert find_busiest(times) <= find_most(rate)
+    assert len(times) >= 0.9 * rate * 30.0
+
+
+@hypothesis.given(st.sampled_from([1.0, 3.8, 20.0]), st.integers(2, 4))
+def test_dispatchers_that_hear_each_other_share_a_rate(rate: float, count: int) -> None:
+    limits = [rate_limit.RateLimit(rate, 0.0, 0.0) for _ in range(count)]
+    times: list[float] = []
+    for second in range(20):
+        for limit, other in itertools.permutations(limits, 2):
+            limit.note_other(f"vm-{limits.index(other)}", float(second))
+        times += take_all(limits, second, second + 1)
+    assert find_busiest(times) <= find_most(rate)
+
+
+def test_vms_that_decide_alone_share_a_rate() -> None:
+    rng = random.Random(2)
+    limits = [rate_limit.begin(3.8, 0.0, 1 / 36, rng) for _ in range(36)]
+    times = take_all(limits, 0.0, 60.0, share=1 / 36)
+    assert find_busiest(times) <= find_most(3.8)
+    assert len(times) >= 0.9 * 3.8 * 60.0
+
+
+def test_limit_lifts_only_by_an_answer_to_a_later_request() -> None:
+    # Answers from two VMs are heard in another order than the target gave them.
+    state = pool.TargetState(make_entry("t"), beliefs.Rates(), 0.0)
+    state.limit = rate_limit.RateLimit(2.0, 1.0, 1.0)
+    state.lift_limit(sent_at=0.9)
+    assert state.limit is not None
+    state.lift_limit(sent_at=1.5)
+    assert state.limit is None
+
+
+def make_dispatcher(names: str) -> dispatcher.Dispatcher:
+    window = retry_window.RetryWindow(0.2, lambda: 10.0, 10.0)
+    one = dispatcher.Dispatcher(work_times.KindTimes(), window, random.Random(1))
+    one.update_targets([make_entry(name) for name in names], 0.0)
+    return one
+
+
+def serve(
+    one: dispatcher.Dispatcher, limits: dict[str, float], rate: float, seconds: float
+) -> dict[str, list[float]]:
+    """Ask at a steady rate; work takes 0.2 s. Return the times at each target."""
+    granted: dict[str, list[float]] = {}
+    under_way: list[tuple[float, str, str]] = []
+    for number in range(int(seconds / STEP)):
+        now = number * STEP
+        decisions = one.wake(now)
+        if number % max(1, round(1 / (rate * STEP))) == 0:
+            ask = messages.Ask(
+                f"k{number}", SHARD, "w", False, 1, now + 0.6, now + 1.2, 1, "a"
+            )
+            decisions += one.ask(ask, now)
+        while under_way and under_way[0][0] <= now:
+            _, ticket, name = under_way.pop(0)
+            good, named = messages.Outcome.GOOD, limits.get(name, math.inf)
+            report = messages.Report(ticket, SHARD, name, good, 0.2, "vm", named)
+            decisions += one.report(report, now)
+        for decision in decisions:
+            if isinstance(decision, messages.Grant):
+                granted.setdefault(decision.target_id, []).append(now)
+                under_way.append((now + 0.2, decision.ticket, decision.target_id))
+    return granted
+
+
+def test_work_goes_on_to_targets_without_a_limit() -> None:
+    one = make_dispatcher("abc")
+    granted = serve(one, {"a": 1.0}, rate=50.0, seconds=20.0)
+    assert find_busiest([at for at in granted["a"] if at > 1.0]) <= find_most(1.0)
+    slots = 8
+    assert len(granted["b"]) + len(granted["c"]) >= 0.95 * slots / 0.2 * 20.0
+
+
+def test_lowest_limits_are_all_used_where_every_target_names_one() -> None:
+    # Capacity is what the limits allow: what is beyond is refused on arrival, and the
+    # rest is served.
+    one = make_dispatcher("abc")
+    limits = dict.fromkeys("abc", 2.0)
+    granted = serve(one, limits, rate=20.0, seconds=20.0)
+    for times in granted.values():
+        assert find_busiest([at for at in times if at > 1.0]) <= find_most(2.0)
+        assert len(times) >= 1.7 * 20.0
+    assert one.queue_length <= 6
+
+
+def test_target_that_starts_anew_has_no_limit() -> None:
+    one = make_dispatcher("a")
+    serve(one, {"a": 1.0}, rate=5.0, seconds=2.0)
+    state = one.pool.find("a")
+    assert state is not None
+    assert state.limit is not None
+    again = targets.Entry("a", "desk", "h", 80, "a", 4, targets.Phase.READY, 2, 0.0, 2)
+    one.update_targets([again], 3.0)
+    state = one.pool.find("a")
+    assert state is not None
+    assert state.limit is None
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -23,6 +23,9 @@
     datagrams.News("vm-1", 4, 20, 10, (ENTRY, targets.Gone("t2", 13))),
     datagrams.VersionNotice("vm-1", 5),
     datagrams.Opinions(SHARD, (datagrams.Opinion("t1", 0.2, 1.5),), (("r", 0.2),)),
+    datagrams.Opinions(
+        SHARD, (datagrams.Opinion("t1", 0.2, 1.5, 3.8, 0.25),), (("r", 0.2),), "vm-1"
+    ),
     datagrams.Asked("vm-1", ASK),
     datagrams.Adopted("vm-1", messages.Held(ASK, "t1")),
     datagrams.Suspects(
@@ -38,6 +41,7 @@
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
     messages.Report("vm:1:2", SHARD, "t1", messages.Outcome.SHED, 0.1, "vm-1"),
+    messages.Report("vm:1:2", SHARD, "t1", messages.Outcome.GOOD, 0.1, "vm-1", 3.8),
 ]
 
 
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -66,6 +66,39 @@
     assert 10 < count_retries(made, decisions, "vm-1") <= 25
 
 
+async def test_dispatcher_that_begins_knows_limits_that_others_told() -> None:
+    # A target in need got all that its slots take from each new dispatcher.
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    opinion = datagrams.Opinion("t1", 0.1, 1.0, 1.0, 0.8)
+    told = datagrams.Opinions(shards.Shard("desk"), (opinion,), (), "vm-3")
+    made.take_opinions(told, now)
+    assert count_retries(made, decisions, "vm-1") == 0
+
+
+async def test_dispatcher_that_others_ask_does_not_wait_for_a_small_part() -> None:
+    # It asked itself first, and took itself for one that decides alone.
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    first = dataclasses.replace(ASK, attempt=1, deadline_at=now + 9, objective_at=now)
+    made.note_limit("t1", 2.0, now)
+    made.ask("own", dataclasses.replace(first, ticket="k1"), now)
+    made.ask("vm-1", dataclasses.replace(first, ticket="k2"), now)
+    made.wake(now + 1.1)
+    assert any(isinstance(one, messages.Grant) for one in decisions)
+
+
+async def test_vm_that_decides_alone_uses_a_part_of_a_limit() -> None:
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    first = dataclasses.replace(ASK, attempt=1, deadline_at=now + 9, objective_at=now)
+    made.note_limit("t1", 2.0, now)
+    for number in range(50):
+        made.ask("own", dataclasses.replace(first, ticket=f"k{number}"), now)
+        made.wake(now + number / 10)
+    assert sum(isinstance(one, messages.Grant) for one in decisions) == 1
+
+
 def test_dispatcher_and_the_one_after_it_stay_within_the_slack() -> None:
     # Guards against the whole slack being given out by each of two in a row.
     assert desk.SHARE_OF_SLACK + desk.FIRST_SHARE < 1.0
