Name the fields of an attempt, so that a new one shifts none

What callers saw: in our own tests only, requests that crash their targets went on to them again, and targets that broke off an answer counted as limited to 1 request a second.

Cause: the field of the rate limit came before the one that says that the connection ended, and one place passed both by position.

Change: all fields after the first three are given by name.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -80,6 +80,8 @@
     detail: str
     """What happened, for the log."""
 
+    _: dataclasses.KW_ONLY
+
     has_begun: bool = True
     """Whether the target may have begun on it: some of an answer came, or some time
     passed."""
@@ -260,8 +262,13 @@
         except http_exchange.BrokenAnswerError as error:
             is_late = anyio.current_time() > dropped_by
             has_begun = exchange.has_begun or is_late
-            detail, is_cut = str(error), error.is_cut
-            return Attempt(plan.Result.BROKEN, None, detail, has_begun, is_cut)
+            return Attempt(
+                plan.Result.BROKEN,
+                None,
+                str(error),
+                has_begun=has_begun,
+                is_cut=error.is_cut,
+            )
         finally:
             self.foreign += exchange.foreign
             if not is_kept:
