--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
 import anyio
@@ -12,6 +11,7 @@
 from zinniastand_core.forwarding import plan
 
 from . import (
+    attempt_ends,
     calls,
     fingerprints,
     http_exchange,
@@ -55,49 +55,6 @@
 STOPPING = "stopping"
 UNEXPECTED_ERROR = "unexpected error"
 
-OUTCOMES = {
-    plan.Result.ANSWERED: messages.Outcome.GOOD,
-    plan.Result.ERROR: messages.Outcome.FAILED,
-    plan.Result.BROKEN: messages.Outcome.FAILED,
-    plan.Result.TURNED_AWAY: messages.Outcome.SHED,
-    plan.Result.MISPLACED: messages.Outcome.MISPLACED,
-    plan.Result.UNREACHABLE: messages.Outcome.UNREACHABLE,
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Place:
-    """A slot of a target that this request holds."""
-
-    ask: messages.Ask
-    """What was asked."""
-
-    grant: messages.Grant
-    """The slot."""
-
-    waited: float
-    """Seconds until it was granted."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Ended:
-    """How an attempt ended."""
-
-    outcome: messages.Outcome
-    """What it means for its target."""
-
-    why: str
-    """What ended it."""
-
-    took: float
-    """Seconds that it took."""
-
-    has_crashed: bool
-    """Whether the target crashed meanwhile."""
-
-    rate_limit: float | None
-    """Requests a second that the target takes; None where nothing tells."""
-
 
 class Run:
     """The run of one request.
@@ -137,6 +94,7 @@
         self._plan = plan.Plan(route, plan.Times(objective, limit))
         self._scope = anyio.CancelScope(deadline=limit)
         self._is_ending = False
+        self._asked = attempt_ends.Asked(self._request_id, self._fingerprint, service)
         self._answer: http_exchange.Answer | None = None
         self._retry_at: float | None = None
         self._why = ""
@@ -188,7 +146,7 @@
             return self._plan.give_up()
         self._parts.check_time()
         if self._is_held():
-            self._report(place, messages.Outcome.ABANDONED, 0.0)
+            attempt_ends.report(self._parts, place, attempt_ends.UNUSED)
             return self._plan.give_up()
         target = self._parts.registry.find_usable(place.grant.target_id)
         self._plan.start_attempt(place.grant.target_id)
@@ -196,7 +154,7 @@
             # The dispatcher knows a target that this VM does not know yet, or has not
             # heard that this one is leaving. A dispatcher that is cut off from the
             # store would otherwise make every VM send work to targets that leave.
-            self._report(place, messages.Outcome.ABANDONED, 0.0)
+            attempt_ends.report(self._parts, place, attempt_ends.UNUSED)
             now = anyio.current_time()
             return self._plan.end_attempt(plan.Result.UNREACHABLE, now)
         overdue_at = self._find_overdue(place.grant, anyio.current_time())
@@ -213,7 +171,7 @@
         self._retry_at = hold
         return True
 
-    async def _acquire(self) -> _Place | None:
+    async def _acquire(self) -> attempt_ends.Place | None:
         """Return a slot, or None where the dispatcher refuses."""
         asked_at = anyio.current_time()
         ask = run_messages.make_ask(
@@ -227,7 +185,7 @@
             self._why = UNEXPECTED_ERROR
             return None
         if isinstance(answer, messages.Grant):
-            return _Place(ask, answer, anyio.current_time() - asked_at)
+            return attempt_ends.Place(ask, answer, anyio.current_time() - asked_at)
         self._why = answer.reason.value
         self._retry_at = answer.retry_at
         return None
@@ -244,7 +202,7 @@
         return now + overdue
 
     async def _attempt_with_backup(
-        self, place: _Place, target: targets.Entry, overdue_at: float
+        self, place: attempt_ends.Place, target: targets.Entry, overdue_at: float
     ) -> plan.Step:
         """Attempt; once that is overdue, try other targets beside it.
 
@@ -276,7 +234,7 @@
         return step
 
     async def _attempt(
-        self, place: _Place, target: targets.Entry, overdue_at: float
+        self, place: attempt_ends.Place, target: targets.Entry, overdue_at: float
     ) -> plan.Step:
         """Send to one target; take in, report and note how that ended."""
         started = anyio.current_time()
@@ -285,7 +243,7 @@
         self._parts.suspects.begin(self._fingerprint, started)
         try:
             attempt = await self._send(target, started)
-            outcome, why = OUTCOMES[attempt.result], attempt.detail
+            outcome, why = attempt_ends.OUTCOMES[attempt.result], attempt.detail
             rate_limit = attempt.rate_limit
             has_crashed = attempt.is_cut and await self._parts.is_down(target)
             if has_crashed:
@@ -297,9 +255,11 @@
             if outcome is messages.Outcome.ABANDONED:
                 self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
-            self._report(place, outcome, now - started, rate_limit)
-            ended = _Ended(outcome, why, now - started, has_crashed, rate_limit)
-            self._note_attempt(place, ended)
+            ended = attempt_ends.Ended(
+                outcome, why, now - started, has_crashed, rate_limit
+            )
+            attempt_ends.report(self._parts, place, ended)
+            attempt_ends.note(self._parts, self._asked, place, ended)
         return self._take(attempt, target, now)
 
     async def _send(self, target: targets.Entry, now: float) -> target_client.Attempt:
@@ -353,43 +313,6 @@
     def _name_deadline(self) -> str:
         return STOPPING if self._is_ending else DEADLINE
 
-    def _report(
-        self,
-        place: _Place,
-        outcome: messages.Outcome,
-        took: float,
-        rate_limit: float | None = None,
-    ) -> None:
-        """Give the slot back, and tell how the attempt went."""
-        ask, target_id = place.ask, place.grant.target_id
-        self._parts.slots.report(
-            messages.Report(
-                ask.ticket,
-                ask.shard,
-                target_id,
-                outcome,
-                took,
-                self._parts.vm,
-                rate_limit,
-            )
-        )
-
-    def _note_attempt(self, place: _Place, ended: _Ended) -> None:
-        self._parts.notes.note_attempt(
-            request_notes.Attempt(
-                self._request_id,
-                self._fingerprint,
-                self._service,
-                place.grant,
-                place.waited,
-                ended.outcome,
-                ended.why,
-                ended.took,
-                ended.has_crashed,
-                ended.rate_limit,
-            )
-        )
-
     def _finish(self, step: plan.Step) -> calls.Reply:
         now = anyio.current_time()
         reply = self._make_reply(step, now)
