Let the load model name limits

A share of the targets names a limit for a while. A test replays 80% load with a quarter of the targets limited to 2 requests a second: the dispatcher stays within one and a half times that and 5 in any four seconds, and gives them more than twice as much once they name none; the least busy target breaks it. Loads and results move to a module of their own, since the model had grown beyond its job.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -13,11 +13,11 @@
 
 from zinniastand_core.dispatch import mechanisms
 
-from . import load_model
+from . import load_model, loads
 
 SEEDS = range(1, 4)
 JOBS = 2
-Kind = load_model.Kind
+Kind = loads.Kind
 
 SHORT_READ = Kind("read", 1.0, 0.32, 2, 2, 1.0, 2.0)
 LONG_READ = Kind("read", 1.0, 0.97, 2, 2, 2.5, 4.0)
@@ -26,9 +26,9 @@
 
 def make_load(
     kinds: tuple[Kind, ...], rate: float, count: int, fails: float = 0.9
-) -> load_model.Load:
+) -> loads.Load:
     """Return a load whose targets stay good for 21 s and failing for 9 s."""
-    return load_model.Load(
+    return loads.Load(
         rate=rate,
         seconds=20.0,
         count=count,
@@ -44,9 +44,9 @@
     "short reads": make_load((SHORT_READ,), 28.0, 7),
     "long reads": make_load((LONG_READ,), 11.0, 8),
     "writes": make_load((WRITE,), 60.0, 11),
-    "reads and writes": make_load(load_model.KINDS, 123.0, 22, 0.75),
-    "two thirds of what works": make_load(load_model.KINDS, 170.0, 22, 0.75),
-    "overload": make_load(load_model.KINDS, 330.0, 22, 0.75),
+    "reads and writes": make_load(loads.KINDS, 123.0, 22, 0.75),
+    "two thirds of what works": make_load(loads.KINDS, 170.0, 22, 0.75),
+    "overload": make_load(loads.KINDS, 330.0, 22, 0.75),
     "half as many targets": make_load((SHORT_READ,), 14.0, 4),
     "twice as many targets": make_load((SHORT_READ,), 56.0, 14),
 }
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -25,7 +25,7 @@
     work_times,
 )
 
-from . import least_busy
+from . import least_busy, loads
 
 MOST_TARGETS = 2
 """Targets that a request may be sent to, if the first turned it away."""
@@ -39,112 +39,18 @@
 RETURN_SHARE = 1 / 3
 """Share of the time left that a refused caller is willing to wait."""
 
+LIMIT_KNOWN_AFTER = 3.0
+"""Seconds after a target first named a limit from which it counts."""
+
+LIMIT_WINDOW = 4.0
+"""Seconds over which requests at such a target are counted."""
+
 WAKE_PAUSE = 0.05
 SERVICE = "desk"
 SHARD = shards.Shard(SERVICE)
 Outcome = messages.Outcome
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kind:
-    """A kind of request."""
-
-    name: str
-    """Its name."""
-
-    share: float
-    """Share of all requests."""
-
-    mean: float
-    """Mean seconds of work."""
-
-    attempts: int
-    """Most targets that one request may be sent to when it fails."""
-
-    priority: int
-    """Rank."""
-
-    objective: float
-    """Seconds within which an answer is in time."""
-
-    deadline: float
-    """Seconds after which nobody waits."""
-
-
-KINDS = (
-    Kind("lookup", 0.27, 0.16, 2, 2, 0.6, 1.0),
-    Kind("write", 0.73, 0.21, 1, 1, 0.6, 1.2),
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """What happens to a service."""
-
-    rate: float
-    """Requests a second."""
-
-    seconds: float = 60.0
-    """How long."""
-
-    count: int = 22
-    """Targets."""
-
-    slots: int = 3
-    """Slots of each."""
-
-    onset: float = 0.033
-    """Changes to failing, per second of a good target."""
-
-    recovery: float = 0.078
-    """Changes to good, per second of a failing target."""
-
-    fails: float = 0.75
-    """Share of requests that a failing target fails."""
-
-    error_share: float = 0.012
-    """Share of requests that fail at any target."""
-
-    slow_share: float = 0.0
-    """Share of targets that are slow."""
-
-    slow_factor: float = 5.0
-    """Times that a slow target takes longer."""
-
-    lost_share: float = 0.0
-    """Share of targets that are gone from the start."""
-
-    burst: float = 1.0
-    """Times as many requests as usual come in a burst."""
-
-    burst_from: float = 4.0
-    """Seconds from the start at which it begins."""
-
-    burst_until: float = 7.0
-    """Seconds from the start at which it ends."""
-
-    shed: float = 0.0
-    """Share of what reaches any target that is turned away."""
-
-    vms: int = 0
-    """VMs that send and keep connections; 0 for a model without connections."""
-
-    kept_for: float = 8.0
-    """Seconds for which an idle connection may be used again."""
-
-    returns: int = 0
-    """Times that a refused caller comes back when told, while time is left."""
-
-    kinds: tuple[Kind, ...] = KINDS
-    """Kinds of requests."""
-
-    @property
-    def capacity(self) -> float:
-        """Requests a second that all targets together could serve if none failed."""
-        mean = sum(kind.share * kind.mean for kind in self.kinds)
-        return self.count * self.slots / mean
-
-
 class Policy(typing.Protocol):
     """Decides where requests go."""
 
@@ -161,57 +67,8 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Result:
-    """What became of all requests."""
-
-    asked: int
-    """Requests."""
-
-    in_time: int
-    """Answered within their objective."""
-
-    late: int
-    """Answered after it."""
-
-    failed: int
-    """Failed by their last target, or overdue."""
-
-    refused: int
-    """Refused."""
-
-    served_by_kind: dict[str, float]
-    """Share served, by kind."""
-
-    wasted: int
-    """Attempts that failed."""
-
-    denied: int
-    """Requests whose first target failed them, and that got no second one."""
-
-    opened: int
-    """Connections opened to targets."""
-
-    longest_refusal: float
-    """Longest seconds that a refused request had waited."""
-
-    refused_late: float
-    """Share of all requests that were refused after more than an eighth of their
-    objective."""
-
-    @property
-    def served_share(self) -> float:
-        """Share of requests that were answered."""
-        return (self.in_time + self.late) / max(1, self.asked)
-
-    @property
-    def in_time_share(self) -> float:
-        """Share of requests that were answered in time."""
-        return self.in_time / max(1, self.asked)
-
-
 class _Request:
-    def __init__(self, number: int, kind: Kind, now: float) -> None:
+    def __init__(self, number: int, kind: loads.Kind, now: float) -> None:
         self.number = number
         self.kind = kind
         self.at = now
@@ -224,13 +81,17 @@
 class Model:
     """One run of a load against a policy."""
 
-    def __init__(self, load: Load, seed: int) -> None:
+    def __init__(self, load: loads.Load, seed: int) -> None:
         self._load = load
         self._rng = random.Random(seed)
         count = round(load.count * (1 - load.lost_share))
         self.names = [f"t{n}" for n in range(count)]
         slow = round(load.slow_share * count)
         self._slow = set(self.names[:slow])
+        limited = round(load.limit_share * count)
+        self._arrived: dict[str, list[float]] = {
+            name: [] for name in self.names[count - limited :]
+        }
         # Streams of their own, so that two policies meet the same load.
         self._arrivals = random.Random(f"{seed} arrivals")
         self._changes = {name: random.Random(f"{seed} {name}") for name in self.names}
@@ -266,7 +127,7 @@
             for name in self.names
         ]
 
-    def run(self, policy: Policy) -> Result:
+    def run(self, policy: Policy) -> loads.Result:
         """Play the load."""
         self._policy = policy
         self._schedule(0.0, self._arrive)
@@ -281,7 +142,7 @@
                 break
             act(at)
         counts = self._counts
-        return Result(
+        return loads.Result(
             asked=sum(self._asked.values()),
             in_time=counts["in_time"],
             late=counts["late"],
@@ -294,9 +155,40 @@
             denied=counts["denied"],
             opened=counts["opened"],
             longest_refusal=self._longest_refusal,
+            busiest_limited=self._find_busiest_limited(),
+            limited_after=self._count_after_limit(),
             refused_late=counts["refused_late"] / max(1, sum(self._asked.values())),
         )
 
+    def _find_busiest_limited(self) -> int:
+        since = self._load.limit_from + LIMIT_KNOWN_AFTER
+        until = self._load.limit_until
+        return max(
+            (
+                sum(begin <= at < min(until, begin + LIMIT_WINDOW) for at in times)
+                for times in self._arrived.values()
+                for begin in times
+                if since <= begin < until
+            ),
+            default=0,
+        )
+
+    def _count_after_limit(self) -> float:
+        left = self._load.seconds - self._load.limit_until
+        if left <= 0 or not self._arrived:
+            return 0.0
+        until = self._load.limit_until
+        count = sum(at >= until for times in self._arrived.values() for at in times)
+        return count / left / len(self._arrived)
+
+    def _find_limit(self, name: str, now: float) -> float:
+        """Return the limit that a target names now, infinite for none."""
+        load = self._load
+        is_limited = name in self._arrived
+        if is_limited and load.limit_from <= now < load.limit_until:
+            return load.limit
+        return math.inf
+
     def _usual(self) -> float:
         load = self._load
         total = load.onset + load.recovery
@@ -396,6 +288,8 @@
         """Let a target work: at once, or after those that came before."""
         request = self._open[grant.ticket]
         name, kind = grant.target_id, request.kind
+        if name in self._arrived:
+            self._arrived[name].append(now)
         if self._load.vms:
             idle = self._idle[request.vm, name]
             self._counts["opened"] += not idle
@@ -427,7 +321,13 @@
         """Let a target say that it did not run a request; any kind may try again."""
         request = self._open.pop(grant.ticket)
         report = messages.Report(
-            grant.ticket, SHARD, grant.target_id, Outcome.SHED, FAIL_TIME, "vm"
+            grant.ticket,
+            SHARD,
+            grant.target_id,
+            Outcome.SHED,
+            FAIL_TIME,
+            "vm",
+            self._find_limit(grant.target_id, now),
         )
         decisions = self._policy.report(report, now)
         self._counts["turned_away"] += 1
@@ -445,7 +345,13 @@
         request = self._open.pop(grant.ticket)
         outcome = Outcome.FAILED if failed else Outcome.GOOD
         report = messages.Report(
-            grant.ticket, SHARD, grant.target_id, outcome, now - started, "vm"
+            grant.ticket,
+            SHARD,
+            grant.target_id,
+            outcome,
+            now - started,
+            "vm",
+            self._find_limit(grant.target_id, now),
         )
         if self._load.vms:
             self._idle[request.vm, grant.target_id].append(now)
@@ -467,8 +373,8 @@
 
 
 def play_dispatcher(
-    load: Load, seed: int, parts: mechanisms.Mechanisms = mechanisms.ALL
-) -> Result:
+    load: loads.Load, seed: int, parts: mechanisms.Mechanisms = mechanisms.ALL
+) -> loads.Result:
     """Play a load against the product's dispatcher, or parts of its policy."""
     model = Model(load, seed)
     window = retry_window.RetryWindow(0.2, lambda: 23.0, 10.0)
@@ -479,13 +385,13 @@
     return model.run(policy)
 
 
-def play_least_busy(load: Load, seed: int, strike: float = 0.0) -> Result:
+def play_least_busy(load: loads.Load, seed: int, strike: float = 0.0) -> loads.Result:
     """Play a load against the least busy target, with or without strikes."""
     model = Model(load, seed)
     return model.run(least_busy.LeastBusy(model.names, strike, random.Random(seed)))
 
 
-def show_result(name: str, result: Result) -> str:
+def show_result(name: str, result: loads.Result) -> str:
     """Return one row of a table."""
     refused = result.refused / result.asked
     failed = result.failed / result.asked
@@ -500,7 +406,7 @@
     print(f"{'':28} {'served':>7} {'in time':>7} {'failed':>7} {'refused':>7} wasted")
     for share in (0.5, 0.8, 1.0, 1.5, 2.0, 3.0):
         for lost in (0.0, 0.25, 0.5):
-            load = Load(rate=1.0, seconds=10.0, lost_share=lost)
+            load = loads.Load(rate=1.0, seconds=10.0, lost_share=lost)
             load = dataclasses.replace(load, rate=share * load.capacity)
             name = f"load {share:.0%}, lost {lost:.0%}"
             print(show_result(f"dispatcher, {name}", play_dispatcher(load, 1)))
--- a/bench/shard_model.py
+++ b/bench/shard_model.py
@@ -17,7 +17,7 @@
     work_times,
 )
 
-from . import load_model
+from . import load_model, loads
 
 VMS = 120
 TARGETS = 96
@@ -82,13 +82,13 @@
         return decisions
 
 
-def make_load(share: float, seconds: float = 6.0) -> load_model.Load:
+def make_load(share: float, seconds: float = 6.0) -> loads.Load:
     """Return a share of what all targets could serve if none failed."""
-    load = load_model.Load(rate=1.0, seconds=seconds, count=TARGETS)
+    load = loads.Load(rate=1.0, seconds=seconds, count=TARGETS)
     return dataclasses.replace(load, rate=share * load.capacity)
 
 
-def play(load: load_model.Load, count: int, seed: int) -> load_model.Result:
+def play(load: loads.Load, count: int, seed: int) -> loads.Result:
     """Play a load against a service in so many shards."""
     model = load_model.Model(load, seed)
     return model.run(Sharded(model, count, seed))
--- a/tests/dispatch/test_load_replay.py
+++ b/tests/dispatch/test_load_replay.py
@@ -9,15 +9,15 @@
 import collections.abc
 import dataclasses
 
-from bench import load_model
+from bench import load_model, loads
 
 SEEDS = (1, 2, 3)
 
 
 def play(
-    run: collections.abc.Callable[[load_model.Load, int], load_model.Result],
-    load: load_model.Load,
-) -> list[load_model.Result]:
+    run: collections.abc.Callable[[loads.Load, int], loads.Result],
+    load: loads.Load,
+) -> list[loads.Result]:
     return [run(load, seed) for seed in SEEDS]
 
 
@@ -26,13 +26,13 @@
     return sum(found) / len(found)
 
 
-def make_load(share: float, **changes: float) -> load_model.Load:
-    base = load_model.Load(rate=1.0, seconds=12.0)
+def make_load(share: float, **changes: float) -> loads.Load:
+    base = loads.Load(rate=1.0, seconds=12.0)
     load = dataclasses.replace(base, **changes)  # type: ignore[arg-type]
     return dataclasses.replace(load, rate=share * base.capacity)
 
 
-def strike(load: load_model.Load, seed: int) -> load_model.Result:
+def strike(load: loads.Load, seed: int) -> loads.Result:
     return load_model.play_least_busy(load, seed, strike=0.7)
 
 
@@ -64,9 +64,9 @@
     assert mean(one.served_by_kind["lookup"] for one in own) > 0.968
 
 
-def make_sticky_load(kind: load_model.Kind, rate: float, count: int) -> load_model.Load:
+def make_sticky_load(kind: loads.Kind, rate: float, count: int) -> loads.Load:
     """Return lookups alone, at targets that stay good or failing for long."""
-    return load_model.Load(
+    return loads.Load(
         rate=rate,
         seconds=40.0,
         count=count,
@@ -79,9 +79,9 @@
 
 def test_retries_are_left_for_those_whose_target_failed_by_surprise() -> None:
     # Guards against trials of failing targets that spend the retries of a service.
-    short = load_model.Kind("short", 1.0, 0.32, 2, 2, 1.0, 2.0)
+    short = loads.Kind("short", 1.0, 0.32, 2, 2, 1.0, 2.0)
     own = play(load_model.play_dispatcher, make_sticky_load(short, 28.0, 7))
-    long = load_model.Kind("long", 1.0, 0.97, 2, 2, 2.5, 4.0)
+    long = loads.Kind("long", 1.0, 0.97, 2, 2, 2.5, 4.0)
     own += play(load_model.play_dispatcher, make_sticky_load(long, 11.0, 8))
     assert mean(one.served_share for one in own) > 0.977
 
@@ -89,7 +89,7 @@
 def test_vms_that_send_little_use_their_connections_again() -> None:
     # Guards against a new connection for nearly each request: 48 VMs share 11 targets
     # and send each of them a request in twelve seconds.
-    write = load_model.Kind("write", 1.0, 0.24, 1, 1, 1.0, 2.5)
+    write = loads.Kind("write", 1.0, 0.24, 1, 1, 1.0, 2.5)
     load = make_sticky_load(write, 45.0, 11)
     load = dataclasses.replace(load, vms=48)
     own = play(load_model.play_dispatcher, load)
@@ -159,3 +159,13 @@
     load = dataclasses.replace(load, seconds=15.0, onset=0.0, error_share=0.0)
     own = play(load_model.play_dispatcher, load)
     assert mean(one.served_share for one in own) > 0.538
+
+
+def test_limits_are_kept_at_high_load_and_lift() -> None:
+    # A quarter of the targets name 2 requests a second, and most slots are needed.
+    load = make_load(0.8, limit_share=0.25, limit_until=9.0)
+    for result in play(load_model.play_dispatcher, load):
+        assert result.busiest_limited <= 1.5 * load.limit * 4.0 + 5
+        assert result.limited_after > 2 * load.limit
+    for result in play(load_model.play_least_busy, load):
+        assert result.busiest_limited > 1.5 * load.limit * 4.0 + 5
