Let targets of the soak name limits

A new kind of plan, a promise (no four seconds hold more than allowed, of VMs in touch, from 3.3 s after a limit was named) and a planted bug. Arrivals are noted whether they run or not.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -133,6 +133,37 @@
     """When."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request that reached a target, whether it ran or not."""
+
+    request_id: str
+    """The request."""
+
+    target_id: str
+    """The target."""
+
+    at: float
+    """When."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """A time in which a target names a limit."""
+
+    target_id: str
+    """The target."""
+
+    rate: float
+    """Requests a second that it takes."""
+
+    begin: float
+    """When its first answer named it."""
+
+    end: float
+    """When it named it no more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbed:
     """A fault, from its begin to its end."""
@@ -175,5 +206,11 @@
     crashed: list[Crashed] = dataclasses.field(default_factory=list)
     """Targets that crashed."""
 
+    arrived: list[Arrived] = dataclasses.field(default_factory=list)
+    """Requests that reached targets."""
+
+    limited: list[Limited] = dataclasses.field(default_factory=list)
+    """Times in which targets named limits."""
+
     disturbed: list[Disturbed] = dataclasses.field(default_factory=list)
     """Faults that are over."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,9 @@
     SERIES = "series"
     """All sorts and stops in series; callers send ahead of the answers."""
 
+    LIMITS = "limits"
+    """All sorts; targets name how many requests a second they take."""
+
     CRASHES = "crashes"
     """All sorts; requests that crash whatever runs them, and targets that crash."""
 
@@ -79,6 +82,9 @@
     ABSENT = "absent"
     """A target is registered, and nobody listens at its address."""
 
+    LIMIT = "limit"
+    """A target in need names a limit, for longer than other faults last."""
+
     CRASH = "crash"
     """A target crashes by itself; another one takes its place later."""
 
@@ -119,6 +125,7 @@
     Kind.MIXED: MIXED,
     Kind.ROLLING: ROLLING,
     Kind.SERIES: {**MIXED, Act.ROLL: 2},
+    Kind.LIMITS: {**MIXED, Act.LIMIT: 8, Act.ROLL: 1},
     Kind.CRASHES: {**MIXED, Act.CRASH: 8, Act.CRASHING: 2},
 }
 
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -118,6 +118,18 @@
             ),
         ),
     ),
+    Plant(
+        "a limit that a target names is not kept",
+        "limit",
+        (
+            Change(
+                f"{CORE}/dispatch/rate_limit.py",
+                "return now >= self._due_at - BURST",
+                "return True",
+            ),
+        ),
+        plan.Kind.LIMITS,
+    ),
     Plant(
         "a request that crashes its targets goes on to many",
         "crashing",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -37,6 +37,15 @@
 TIME_LIMIT = 1.5
 """Time limit of all routes of the soak, in seconds."""
 
+LIMIT_WINDOW = 4.0
+"""Seconds over which requests at a target with a limit are counted."""
+
+LIMIT_SHARE = 1.5
+"""Times its limit that it may get in them."""
+
+LIMIT_SLACK = 5
+"""Requests that it may get beyond that."""
+
 CRASHING = "/safe/crash/"
 """Begin of the paths of requests that crash whatever runs them."""
 
@@ -75,6 +84,7 @@
         _check_planned_stops,
         _check_given_up,
         _check_crashing,
+        _check_limits,
         _check_denied,
     )
     found = [breach for check in checks for breach in check(book)]
@@ -259,6 +269,31 @@
             yield Breach("crashing", what)
 
 
+def _check_limits(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """A target that names a limit gets little more, from all VMs in touch together."""
+    vms = {one.request_id: one.vm for one in book.sent}
+    for limited in book.limited:
+        known_at = limited.begin + CALM_BEFORE + SLACK
+        times = [
+            one.at
+            for one in book.arrived
+            if one.target_id == limited.target_id
+            and known_at <= one.at < limited.end
+            and one.request_id in vms
+            and not _touches(
+                book, {_name(vms[one.request_id])}, one.at - CALM_BEFORE, one.at
+            )
+        ]
+        most = LIMIT_SHARE * limited.rate * LIMIT_WINDOW + LIMIT_SLACK
+        busiest = max(
+            (sum(at <= one < at + LIMIT_WINDOW for one in times) for at in times),
+            default=0,
+        )
+        if busiest > most:
+            what = f"{limited.target_id}: {busiest} requests in 4 s, {most:.0f} allowed"
+            yield Breach("limit", what)
+
+
 def _check_denied(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
     """Only requests that crash their targets are kept from them."""
     guilty = {one.path for one in book.crashed if one.path}
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,7 @@
     plan.Act.PUBLISH,
     plan.Act.ROLL,
     plan.Act.ABSENT,
+    plan.Act.LIMIT,
     plan.Act.CRASH,
     plan.Act.CRASHING,
 )
@@ -41,6 +42,12 @@
 ROLL_PAUSE = 0.4
 """Seconds between two stops of a series; each takes longer, so that they overlap."""
 
+LIMIT = 2.0
+"""Requests a second that a target in need takes: a fifth of what it gets otherwise."""
+
+LIMIT_FOR = 9.0
+"""Seconds for which it says so: long enough to be known and then judged for a while."""
+
 BACK_AFTER = 1.0
 """Seconds after which another target takes the place of one that crashed."""
 
@@ -172,11 +179,13 @@
     async def _act(self, step: plan.Step) -> str:
         """Do one step until it is over; return what it touched."""
         vm = self._vms[step.which % len(self._vms)]
-        target = self._targets[step.which % len(self._targets)]
         match step.act:
             case plan.Act.KILL | plan.Act.STOP | plan.Act.PAUSE | plan.Act.RELOAD:
                 await self._signal(step, vm)
                 return f"vm-{vm.number}"
+            case plan.Act.STORE_LINK:
+                await _trouble(vm.store, step)
+                return f"vm-{vm.number}"
             case plan.Act.STORE:
                 self._store.fault = topic_store.Fault(step.how)
                 await anyio.sleep(step.for_s)
@@ -184,9 +193,23 @@
             case plan.Act.FORGET:
                 self._store.forget(words.TARGETS_TOPIC)
                 self._store.forget(words.CONFIGURATION_TOPIC)
-            case plan.Act.STORE_LINK:
-                await _trouble(vm.store, step)
-                return f"vm-{vm.number}"
+            case plan.Act.PUBLISH:
+                self._publish()
+            case plan.Act.ROLL:
+                await self._roll(step)
+            case plan.Act.ABSENT:
+                await self._announce_absent(step)
+            case plan.Act.CRASHING:
+                path = f"{promises.CRASHING}{step.which}"
+                self._clients.start_soon(self._load.repeat, path, self._stop)
+            case _:
+                return await self._act_on_target(step)
+        return "store"
+
+    async def _act_on_target(self, step: plan.Step) -> str:
+        """Do one step that concerns a target; return what it touched."""
+        target = self._targets[step.which % len(self._targets)]
+        match step.act:
             case plan.Act.TARGET:
                 target.misbehave(targets.Fault(step.how))
                 await anyio.sleep(step.for_s)
@@ -198,19 +221,14 @@
             case plan.Act.TARGET_LINK:
                 await _trouble(target.link, step)
                 return target.target_id
+            case plan.Act.LIMIT:
+                target.begin_limit(LIMIT)
+                await anyio.sleep(LIMIT_FOR)
+                target.end_limit()
             case plan.Act.CRASH:
                 target.crash()
-            case plan.Act.CRASHING:
-                path = f"{promises.CRASHING}{step.which}"
-                self._clients.start_soon(self._load.repeat, path, self._stop)
             case plan.Act.REPLACE:
                 await self._replace(target)
-            case plan.Act.PUBLISH:
-                self._publish()
-            case plan.Act.ROLL:
-                await self._roll(step)
-            case plan.Act.ABSENT:
-                await self._announce_absent(step)
         return "store"
 
     async def _corner(self, target: targets.Target, step: plan.Step) -> None:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -87,10 +87,25 @@
         self.link = links.Link(0)
         self.is_leaving = False
         self._has_crashed = False
+        self._limit: float | None = None
+        self._limited_at: float | None = None
         self._began = 0
         self._book = book
         self._on_crash: collections.abc.Callable[[Target], None] | None = None
 
+    def begin_limit(self, rate: float) -> None:
+        """Name a limit from now on."""
+        self._limit, self._limited_at = rate, None
+
+    def end_limit(self) -> None:
+        """Name no limit any more."""
+        if self._limit is not None and self._limited_at is not None:
+            limited = ledger.Limited(
+                self.target_id, self._limit, self._limited_at, anyio.current_time()
+            )
+            self._book.limited.append(limited)
+        self._limit = None
+
     def watch_crash(self, on_crash: collections.abc.Callable[[Target], None]) -> None:
         """Call `on_crash` when this target crashes."""
         self._on_crash = on_crash
@@ -117,8 +132,11 @@
         request_id = headers.get(words.HEADERS.request_id, b"").decode()
         if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
             return calls.Reply(421, [], b"")
+        now = anyio.current_time()
+        self._book.arrived.append(ledger.Arrived(request_id, self.target_id, now))
         if self._fault is Fault.SHED:
-            return calls.Reply(503, [(words.HEADERS.not_run, b"1")], b"")
+            not_run = (words.HEADERS.not_run, b"1")
+            return calls.Reply(503, [not_run, *self._name_limit()], b"")
         status = {Fault.ERROR: 500, Fault.BARE: 503}.get(self._fault, 200)
         ran = ledger.Ran(
             request_id,
@@ -142,6 +160,12 @@
         self._book.ended.append(ledger.Ended(ran, is_cut, anyio.current_time()))
         return self._answer(request_id, status)
 
+    def _name_limit(self) -> list[tuple[bytes, bytes]]:
+        if self._limit is None:
+            return []
+        self._limited_at = self._limited_at or anyio.current_time()
+        return [(words.HEADERS.rate_limit, b"%.1f" % self._limit)]
+
     def _find_time(self) -> float:
         self._began += 1
         if self._fault is Fault.UNEVEN and self._began % LONG_ONE_IN == 0:
@@ -150,7 +174,10 @@
         return times.get(self._fault, WORK)
 
     def _answer(self, request_id: str, status: int) -> calls.Reply:
-        headers = [(words.HEADERS.request_id, request_id.encode())]
+        headers = [
+            (words.HEADERS.request_id, request_id.encode()),
+            *self._name_limit(),
+        ]
         if self._fault is not Fault.UNSIGNED:
             headers.append((words.HEADERS.signature, b"signed"))
         body = promises.make_answer(request_id) if status == 200 else b"failed"
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -57,6 +57,27 @@
     assert report.served > 0.5 * report.sent
 
 
+def test_every_promise_holds_where_targets_name_limits(tmp_path: pathlib.Path) -> None:
+    # Guards against limits that each VM keeps by itself, or that a new dispatcher does
+    # not know.
+    shape = run.Shape(plan.Kind.LIMITS)
+    report = run.play(SHORT_SEEDS[1], tmp_path, shape=shape)
+    assert report.breaches == ()
+    assert report.served > 0.5 * report.sent
+
+
+def test_target_that_gets_more_than_its_limit_is_a_breach() -> None:
+    book = make_book()
+    book.limited.append(ledger.Limited("t9", 2.0, 20.0, 40.0))
+    for number in range(18):
+        at = 24.0 + number / 10
+        book.sent.append(ledger.Sent(f"l{number}", 0, False, "/safe/1", b"", at))
+        book.arrived.append(ledger.Arrived(f"l{number}", "t9", at))
+    assert "limit" in name_breaches(book)
+    book.arrived.pop()
+    assert "limit" not in name_breaches(book)
+
+
 def make_crashing_book(runs: int) -> ledger.Ledger:
     """Return what a request leaves that runs so often after its third crash."""
     book = make_book()
