Show what a store that returns from an older copy breaks

What callers saw: in tests only. The store is away for a moment and returns from a copy some seconds old; offsets are given out again.

The stand-in store learns to return from a copy, and to name its era.

--- a/packages/zinniastand-standins/src/zinniastand_standins/topic_store.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/topic_store.py
@@ -54,10 +54,31 @@
     """Where it stands in the topic."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """What a store held at some moment."""
+
+    records: dict[str, list[bytes]]
+    """Records by topic."""
+
+    first: dict[str, int]
+    """Offset of the first of them, by topic."""
+
+    newest: dict[str, dict[str, KeyedRecord]]
+    """Newest record of each key, by topic."""
+
+
 class TopicStore:
-    """Topics with one partition each."""
+    """Topics with one partition each.
+
+    Attributes
+    ----------
+    era : int
+        Rises each time that the store returns from an older copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self._records: dict[str, list[bytes]] = {}
         self._first: dict[str, int] = {}
         self._newest: dict[str, dict[str, KeyedRecord]] = {}
@@ -89,7 +110,7 @@
             If they are no longer kept.
         """
         first = self.find_first(topic)
-        if start < first:
+        if not first <= start <= self.find_end(topic):
             raise TopicGoneError(first)
         return self._records.get(topic, [])[start - first :]
 
@@ -110,6 +131,21 @@
         self._first[topic] = self.find_end(topic)
         self._records[topic] = []
 
+    def take_copy(self) -> Copy:
+        """Return a copy of all that the store holds."""
+        return Copy(
+            {topic: list(records) for topic, records in self._records.items()},
+            dict(self._first),
+            {topic: dict(newest) for topic, newest in self._newest.items()},
+        )
+
+    def return_from(self, copy: Copy) -> None:
+        """Hold what a copy holds: what was written since is gone."""
+        self._records = {topic: list(one) for topic, one in copy.records.items()}
+        self._first = dict(copy.first)
+        self._newest = {topic: dict(one) for topic, one in copy.newest.items()}
+        self.era += 1
+
     def _index(self, topic: str, record: bytes, offset: int) -> None:
         end_of_key = 1 + record[0]
         key = record[1:end_of_key].decode()
--- a/packages/zinniastand-standins/src/zinniastand_standins/topic_store_app.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/topic_store_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 import struct
 import urllib.parse
@@ -16,6 +17,8 @@
 POLL_PAUSE = 0.01
 """Seconds between two looks for new records by a call that waits."""
 
+ERA_HEADER = b"store-era"
+
 PAGE = 500
 """Keys on one page."""
 
@@ -56,7 +59,9 @@
                 await anyio.sleep(FOREVER)
             case topic_store.Fault.NONE:
                 pass
-        return await self._answer(path, query, incoming.request.body)
+        answer = await self._answer(path, query, incoming.request.body)
+        era = (ERA_HEADER, str(self._store.era).encode())
+        return dataclasses.replace(answer, headers=[*answer.headers, era])
 
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes
--- /dev/null
+++ b/tests/edge/test_store_drill.py
@@ -0,0 +1,118 @@
+"""The store returns from a copy that is some seconds old."""
+
+from __future__ import annotations
+
+import anyio
+import edge_site
+import pytest
+
+from zinniastand_standins import topic_store
+
+pytestmark = pytest.mark.anyio
+
+SETTLED = 2.0
+"""Seconds within which all VMs know what stands in the new era."""
+
+
+async def start(site: edge_site.Site, *names: str) -> list[edge_site.Vm]:
+    vms = [await site.start_vm(name) for name in names]
+    for vm in vms:
+        await edge_site.wait_ready(vm)
+    return vms
+
+
+async def find_used(vms: list[edge_site.Vm], path: str = "/x") -> set[str]:
+    """Return the targets that answer a few requests to each VM."""
+    used: set[str] = set()
+    for number in range(12):
+        for vm in vms:
+            name = f"{vm.settings.vm}-{number}-{anyio.current_time()}"
+            answer = await edge_site.call(vm, path, name)
+            if answer.status_code == 200:
+                used.add(answer.content.split()[0].decode())
+    return used
+
+
+async def strike(site: edge_site.Site, copy: topic_store.Copy) -> None:
+    """Let the store be away for a moment and return from a copy."""
+    site.store.fault = topic_store.Fault.RESET
+    await anyio.sleep(0.3)
+    site.store.return_from(copy)
+    site.store.fault = topic_store.Fault.NONE
+
+
+async def test_targets_of_the_new_era_are_used_and_leaving_ones_are_not() -> None:
+    # Offsets are given out again: by offsets alone, whatever is written after the
+    # return looks older than what was read before, and is never taken in.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2", "t3"):
+            await site.start_target(edge_site.Target(name))
+        vms = await start(site, "vm-1", "vm-2")
+        copy = site.store.take_copy()
+        for name in ("t1", "t2", "t3") * 10:
+            site.register(site.targets[name])
+        site.register(site.targets["t1"], "draining")
+        await anyio.sleep(1.0)
+        assert "t1" not in await find_used(vms)
+        await strike(site, copy)
+        await anyio.sleep(SETTLED)
+        # Its entry says that it is ready, as it did when the copy was made.
+        assert "t1" not in await find_used(vms)
+        site.register(site.targets["t1"], "draining")
+        for name in ("t2", "t3"):
+            site.register(site.targets[name], "draining")
+        await site.start_target(edge_site.Target("t4"))
+        await anyio.sleep(SETTLED)
+        assert await find_used(vms) == {"t4"}
+
+
+async def test_configuration_in_force_outlives_the_return() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route("/old/")])
+        await site.start_target(edge_site.Target("t1"))
+        vms = await start(site, "vm-1", "vm-2")
+        copy = site.store.take_copy()
+        site.publish([edge_site.make_route("/new/")])
+        await anyio.sleep(1.0)
+        await strike(site, copy)
+        await anyio.sleep(SETTLED)
+        late = await start(site, "vm-3")
+        await anyio.sleep(SETTLED)
+        assert await find_used([*vms, *late], "/new/x") == {"t1"}
+        assert await find_used([*vms, *late], "/old/x") == set()
+        site.publish([edge_site.make_route("/newest/")])
+        await anyio.sleep(SETTLED)
+        assert await find_used([*vms, *late], "/newest/x") == {"t1"}
+
+
+async def test_vm_whose_entry_is_lost_enters_again() -> None:
+    # A VM that starts later finds the others in the store, and would not know it.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        await start(site, "vm-1")
+        copy = site.store.take_copy()
+        await start(site, "vm-2")
+        await strike(site, copy)
+        await anyio.sleep(2 * SETTLED)
+        listed = {one.key for one in site.store.list_newest("keyed.members")}
+        assert listed == {"vm-1", "vm-2"}
+
+
+async def test_calls_after_a_return_are_few() -> None:
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        await site.start_target(edge_site.Target("t1"))
+        vms = await start(site, *(f"vm-{n}" for n in range(6)))
+        await anyio.sleep(1.0)
+        copy = site.store.take_copy()
+        await anyio.sleep(0.5)
+        usual = edge_site.count_store_calls(vms)
+        await anyio.sleep(5.0)
+        usual = edge_site.count_store_calls(vms) - usual
+        before = edge_site.count_store_calls(vms)
+        site.store.return_from(copy)
+        await anyio.sleep(5.0)
+        made = edge_site.count_store_calls(vms) - before
+        assert made.total() - usual.total() <= 3 * len(vms)
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -102,6 +102,8 @@
 class Site:
     """The whole site."""
 
+    _sequences = itertools.count(1)
+
     def __init__(self, group: anyio.abc.TaskGroup) -> None:
         self._group = group
         self.store = topic_store.TopicStore()
@@ -158,7 +160,10 @@
     def register(self, target: Target, state: str = "ready") -> None:
         """Write a target's entry."""
         address = f"{HOST}:{target.port}"
-        value = encoding.encode_entry(target.service, address, target.slots, state)
+        sequence = next(self._sequences)
+        value = encoding.encode_entry(
+            target.service, address, target.slots, state, sequence
+        )
         self.store.put(words.TARGETS_TOPIC, target.target_id, value)
 
     def publish(self, routes: list[list[object]]) -> None:
