Tell what a store says by its era

What callers saw: in our own tests only. After the store had returned from an older copy, a target that drained got work and a new one none; a VM whose entry was lost stayed unknown to VMs that start later.

Cause: places in the store were compared by offsets, and these are given out again. The class: an order that another party may begin anew.

Change: the adapter reads the era that each answer names, refuses answers that may be of an older one, and makes era and offset one number, which all comparisons use as they stand. A read from a place of an earlier era begins anew. In a later era an entry counts only if its start or its sequence is later than what was known, so that a copy brings no leaving target back; targets that the copy lacks stay until they could have written again.

--- a/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -6,6 +6,8 @@
 import dataclasses
 import enum
 
+from . import places
+
 LAPSE_SHARE = 0.34
 """Share of a service's targets that must vanish together to look like a lapse of the
 store's leases and not like targets that leave; a release or a scale-in takes a few at a
@@ -16,6 +18,16 @@
 after which a target that has left may get nothing, by the time that the news takes."""
 
 
+REWRITE_GRACE = 1.8
+"""Seconds for which targets stay in use that a store lacks which has returned from an
+older copy: they write with every heartbeat, and a target that has left may get nothing
+after two seconds."""
+
+MOST_REMOVED = 4096
+"""Removed targets whose last entry is kept: a store that returns from a copy may show
+it again."""
+
+
 class Phase(enum.StrEnum):
     """What a target says of itself."""
 
@@ -61,6 +73,9 @@
     position: int
     """Place of the entry in the order of all entries ever written."""
 
+    sequence: int = 0
+    """Number of the entry among those of this start of the target."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Gone:
@@ -88,6 +103,7 @@
         self._entries: dict[str, Entry] = {}
         self._positions: dict[str, int] = {}
         self._lapsing: dict[str, float] = {}
+        self._removed: dict[str, Entry] = {}
         self._listed_to = 0
 
     def __len__(self) -> int:
@@ -150,6 +166,11 @@
         listed = list(entries)
         names = {entry.target_id for entry in listed}
         missing = [Gone(name, position) for name in self._entries if name not in names]
+        if places.find_era(position) > places.find_era(self._listed_to):
+            # They write again what the store has lost, if they are still there.
+            for gone in missing:
+                self._lapsing.setdefault(gone.target_id, now + REWRITE_GRACE)
+            missing = []
         # Entries of the listing are older than its end.
         self._listed_to = 0
         news = self.apply([*listed, *missing], now)
@@ -161,14 +182,31 @@
         self._entries.pop(target_id, None)
 
     def _take_entry(self, entry: Entry) -> bool:
+        if self._is_outdated(entry):
+            return False
         known = self._entries.get(entry.target_id)
         # A heartbeat that was held up may arrive after its sender started again.
         if known is not None and entry.born < known.born:
             return False
         self._lapsing.pop(entry.target_id, None)
+        self._removed.pop(entry.target_id, None)
         self._entries[entry.target_id] = entry
         return known is None or _differs(known, entry)
 
+    def _is_outdated(self, entry: Entry) -> bool:
+        """Return whether an entry of a later era says what was known before it.
+
+        A store that returns from a copy shows what its targets wrote before the copy
+        was made: one that has left since would be ready again. Within an
+        era the order of the entries decides.
+        """
+        known = self._entries.get(entry.target_id)
+        known = known or self._removed.get(entry.target_id)
+        if known is None or entry.born != known.born:
+            return False
+        is_later_era = places.find_era(entry.position) > places.find_era(known.position)
+        return is_later_era and entry.sequence <= known.sequence
+
     def _remove(self, gone: list[Gone], now: float) -> list[Change]:
         """Remove targets, slowly where many vanish at the same moment.
 
@@ -181,6 +219,7 @@
         known = [one for one in gone if one.target_id in self._entries]
         for one in known:
             entry = self._entries[one.target_id]
+            self._note_removed(entry)
             removed.append(one)
             if entry.phase is Phase.READY and self._is_lapse(entry.service, known):
                 self._lapsing.setdefault(one.target_id, now + LAPSE_GRACE)
@@ -188,6 +227,12 @@
                 del self._entries[one.target_id]
         return removed
 
+    def _note_removed(self, entry: Entry) -> None:
+        """Keep the last entry of a target for a while, the newest of them only."""
+        self._removed[entry.target_id] = entry
+        if len(self._removed) > MOST_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def _is_lapse(self, service: str, gone: list[Gone]) -> bool:
         total = sum(1 for one in self._entries.values() if one.service == service)
         vanished = {one.target_id for one in gone} | self._lapsing.keys()
@@ -210,6 +255,9 @@
 def _differs(known: Entry, entry: Entry) -> bool:
     """Return whether an entry says more than that its target is still there."""
     same = dataclasses.replace(
-        known, cold_until=entry.cold_until, position=entry.position
+        known,
+        cold_until=entry.cold_until,
+        position=entry.position,
+        sequence=entry.sequence,
     )
     return same != entry
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -403,6 +403,7 @@
         change.phase.value,
         change.born,
         cold_left,
+        change.sequence,
     ]
 
 
@@ -411,7 +412,7 @@
     if len(fields) == 2:
         return targets.Gone(fields[0], fields[1])
     target_id, position, service, host, port, data_centre, slots = fields[:7]
-    phase, born, cold_left = fields[7:]
+    phase, born, cold_left, *sequence = fields[7:]
     return targets.Entry(
         target_id,
         service,
@@ -423,4 +424,5 @@
         born,
         now + cold_left if cold_left else 0.0,
         position,
+        *sequence,
     )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -332,6 +332,7 @@
             ("zinniastand_target_limits_unreadable_total", self._client.odd_limits),
             ("zinniastand_configuration_version", self._configured.version),
             ("zinniastand_requests_quarantined", self._suspects.count_quarantined()),
+            ("zinniastand_store_era", self._store.era),
             ("zinniastand_log_lines_dropped", self._log.dropped),
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_keeper.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from zinniastand_core.deployment import configuration
+from zinniastand_core.deployment import configuration, places
 
 from . import (
     configuration_keeper,
@@ -82,6 +82,7 @@
         self._rng = rng
         self._resignation = resign
         self._hold_until = anyio.current_time() + HOLD_AT_START
+        self._store = store
         self._spreader = spreading.Spreader(fleet, link)
         self._record = target_record.TargetRecord(knowledge.registry, log, on_targets)
         self._starter = start_fetcher.StartFetcher(
@@ -133,6 +134,8 @@
             turn,
             start,
             store_contact.StoreContact("members", log, rng),
+            self._read_era,
+            rng,
         )
 
     @property
@@ -140,6 +143,10 @@
         """Whether enough is known to serve requests."""
         return self._configured.current is not None and self._record.is_complete
 
+    def _read_era(self) -> int:
+        """Return the newest era of the store that this VM has seen or heard of."""
+        return max(self._store.era, places.find_era(self._record.position))
+
     @property
     def position(self) -> int:
         """Up to where the targets are known; negative where none are."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -90,6 +90,11 @@
 class MemberDirectory(typing.Protocol):
     """Where the VMs of the fleet find each other."""
 
+    @property
+    def era(self) -> int:
+        """The newest era that was seen in an answer here."""
+        ...
+
     async def announce(self, member: Member) -> None:
         """Enter this VM."""
         ...
--- a/tests/deployment/test_targets.py
+++ b/tests/deployment/test_targets.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
-from zinniastand_core.deployment import targets
+import hypothesis
+import hypothesis.strategies as st
+
+from zinniastand_core.deployment import places, targets
+
+NEXT_ERA = places.make_place(1, 0)
 
 
 def make_entry(
@@ -13,6 +19,7 @@
     phase: targets.Phase = targets.Phase.READY,
     service: str = "desk",
     born: int = 1,
+    sequence: int = 0,
 ) -> targets.Entry:
     return targets.Entry(
         target_id=name,
@@ -25,6 +32,7 @@
         born=born,
         cold_until=0.0,
         position=position,
+        sequence=sequence,
     )
 
 
@@ -120,3 +128,71 @@
     registry.apply([targets.Gone("t1", 2), targets.Gone("t2", 3)], 0.0)
     assert registry.find_usable("t1") is not None
     assert [one.target_id for one in registry.list_lasting()] == ["t3"]
+
+
+def test_copy_of_a_store_does_not_bring_a_leaving_target_back() -> None:
+    # A store returns from a copy: its entries stand in a later era, and tell of before.
+    registry = targets.Registry()
+    registry.apply([make_entry("a", 40, targets.Phase.DRAINING, sequence=9)], 0.0)
+    registry.apply([make_entry("b", 41, sequence=5)], 0.0)
+    registry.apply([targets.Gone("b", 42)], 0.0)
+    copied = [make_entry("a", NEXT_ERA + 3, sequence=7), make_entry("b", NEXT_ERA + 4)]
+    registry.replace(copied, NEXT_ERA + 5, 1.0)
+    assert list_names(registry, 1.0) == set()
+    registry.apply([make_entry("b", NEXT_ERA + 6, sequence=6)], 1.0)
+    assert list_names(registry, 1.0) == {"b"}
+
+
+def test_next_start_of_a_target_counts_whatever_its_sequence() -> None:
+    registry = targets.Registry()
+    registry.apply([make_entry("a", 40, targets.Phase.DRAINING, sequence=9)], 0.0)
+    registry.apply([make_entry("a", NEXT_ERA + 1, born=2, sequence=1)], 0.0)
+    assert list_names(registry) == {"a"}
+
+
+def test_entries_of_a_later_era_count_at_lower_offsets() -> None:
+    registry = targets.Registry()
+    registry.replace([make_entry("a", 90, sequence=4)], 95, 0.0)
+    drained = make_entry("a", NEXT_ERA + 2, targets.Phase.DRAINING, sequence=5)
+    registry.apply([drained, make_entry("c", NEXT_ERA + 3, sequence=1)], 0.0)
+    assert list_names(registry) == {"c"}
+    # Late news of the era before.
+    registry.apply([make_entry("a", 97, sequence=4)], 0.0)
+    assert list_names(registry) == {"c"}
+
+
+def test_targets_that_a_copy_lacks_stay_until_they_could_have_written_again() -> None:
+    registry = targets.Registry()
+    registry.replace([make_entry("a", 90), make_entry("b", 91)], 95, 0.0)
+    registry.replace([make_entry("a", NEXT_ERA + 1)], NEXT_ERA + 2, 10.0)
+    assert list_names(registry, 10.5) == {"a", "b"}
+    assert list_names(registry, 10.0 + targets.REWRITE_GRACE + 0.1) == {"a"}
+
+
+@hypothesis.given(st.randoms(use_true_random=False), st.integers(1, 3))
+def test_any_order_of_what_a_store_says_ends_with_the_newest(
+    rng: random.Random, eras: int
+) -> None:
+    # A target writes with each heartbeat; the store returns from a copy at times, and
+    # what it has said is heard late, twice and from several VMs.
+    said: list[targets.Entry] = []
+    sequence, offset, last = 0, 0, 0
+    for era in range(eras):
+        offset = rng.randrange(offset + 1)
+        for _ in range(rng.randrange(1, 6)):
+            offset += 1
+            is_copied = era > 0 and rng.random() < 0.3
+            sequence += not is_copied
+            number = rng.randrange(sequence + 1) if is_copied else sequence
+            place = places.make_place(era, offset)
+            said.append(make_entry("a", place, sequence=number))
+            last = max(last, number)
+    registry = targets.Registry()
+    heard = [*said, *rng.sample(said, len(said) // 2)]
+    rng.shuffle(heard)
+    for entry in heard:
+        registry.apply([entry], 0.0)
+    own_era = [one for one in said if places.find_era(one.position) == eras - 1]
+    newest = registry.find("a")
+    assert newest is not None
+    assert newest.sequence >= max(one.sequence for one in own_era[-1:])
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -125,6 +125,7 @@
         born=1700000000000,
         cold_until=100.5,
         position=12,
+        sequence=4,
     )
 
 
