Name returns of the store beside what failed around them

zinniactl explain lists each era of the store with when it was first seen in the logs and how many requests were not served within three seconds of it.

--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
@@ -79,6 +79,7 @@
         self.store_calls_by_second: collections.Counter[int] = collections.Counter()
         self.versions: dict[int, list[float]] = {}
         self.events: collections.Counter[str] = collections.Counter()
+        self.store_returns: dict[int, float] = {}
         self.crashes: dict[str, CrashRow] = {}
         self.tried_again = 0
         self.unanswered = 0
@@ -115,6 +116,10 @@
                 call, outcome = str(record.get("call")), str(record.get("outcome"))
                 self.store_calls[call, outcome] += 1
                 self.store_calls_by_second[int(read_number(record, "time"))] += 1
+            case "store_era" if record.get("before") is not None:
+                era, at = int(read_number(record, "era")), read_number(record, "time")
+                first = self.store_returns.get(era, at)
+                self.store_returns[era] = min(at, first)
             case "configuration_in_force":
                 version = int(read_number(record, "version"))
                 at = read_number(record, "time")
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -84,11 +84,24 @@
     if limits:
         names = ["target with a limit", "a second", "busiest seconds"]
         parts.append(output.format_table(names, limits))
+    if found.store_returns:
+        described = summary.describe(found)["store_returns"]
+        names = ["store returned from a copy, era", "first seen", "not served near"]
+        parts.append(output.format_table(names, _list_returns(described)))
     if calls:
         parts.append(output.format_table(["call to the store", "", "calls"], calls))
     return "\n\n".join(parts)
 
 
+def _list_returns(described: object) -> list[list[object]]:
+    if not isinstance(described, dict):
+        return []
+    return [
+        [era, f"{row['first_seen']:.1f}", row["unserved_near"]]
+        for era, row in described.items()
+    ]
+
+
 def _read(logs: list[str]) -> account.Account:
     reader = log_reader.LogReader(_report_progress)
     found = account.Account()
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -11,6 +11,9 @@
 MOST_ROWS = 20
 """Targets and VMs that are named; those that failed most."""
 
+NEAR = 3
+"""Seconds before and after a return of the store in which requests are counted."""
+
 SPAN = 4
 """Whole seconds over which attempts at a target with a limit are counted."""
 
@@ -149,6 +152,17 @@
     )
 
 
+def _count_unserved(found: account.Account, at: float) -> int:
+    """Return how many requests around a time were refused or failed."""
+    unserved = (causes.Result.REFUSED.value, causes.Result.FAILED.value)
+    return sum(
+        counts[name]
+        for second, counts in found.by_second.items()
+        if abs(second - at) <= NEAR
+        for name in unserved
+    )
+
+
 def describe(found: account.Account) -> dict[str, object]:
     """Return all that there is to say, as values that JSON holds."""
     return {
@@ -174,6 +188,10 @@
         "limits": [dataclasses.asdict(row) for row in list_limits(found)],
         "crashes": [dataclasses.asdict(row) for row in list_crashes(found)],
         "targets": [dataclasses.asdict(row) for row in list_targets(found)],
+        "store_returns": {
+            str(era): {"first_seen": at, "unserved_near": _count_unserved(found, at)}
+            for era, at in sorted(found.store_returns.items())
+        },
         "versions": {
             str(version): {"vms": len(times), "spread_s": max(times) - min(times)}
             for version, times in sorted(found.versions.items())
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -179,6 +179,18 @@
     assert (row.target, row.limit, row.busiest) == ("t1", 1.5, 3.0)
 
 
+def test_return_of_the_store_is_told_with_what_failed_around_it() -> None:
+    found = account.Account()
+    for vm, at in (("vm-1", 100.7), ("vm-2", 100.5)):
+        line = {"vm": vm, "event": "store_era", "era": 1, "before": 0, "time": at}
+        found.take(line)
+    found.take({"vm": "vm-1", "event": "store_era", "era": 1, "before": None})
+    found.take(json.loads(make_answer(503, "no-target")))
+    found.take(json.loads(make_answer(503, "no-target", time=200.0)))
+    told = summary.describe(found)["store_returns"]
+    assert told == {"1": {"first_seen": 100.5, "unserved_near": 1}}
+
+
 def run(*arguments: object) -> typer.testing.Result:
     return RUNNER.invoke(cli.app, ["explain", *map(str, arguments)])
 
