Let the soak return its store from older copies

A new kind of plan among the other faults, with more targets that leave; what operators and targets wrote since is written again. A planted bug compares places by offsets alone.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,9 @@
     SERIES = "series"
     """All sorts and stops in series; callers send ahead of the answers."""
 
+    DRILLS = "drills"
+    """All sorts; the store returns from an older copy."""
+
     LIMITS = "limits"
     """All sorts; targets name how many requests a second they take."""
 
@@ -82,6 +85,9 @@
     ABSENT = "absent"
     """A target is registered, and nobody listens at its address."""
 
+    DRILL = "drill"
+    """The store is away for a moment and returns from a copy some seconds old."""
+
     LIMIT = "limit"
     """A target in need names a limit, for longer than other faults last."""
 
@@ -125,6 +131,7 @@
     Kind.MIXED: MIXED,
     Kind.ROLLING: ROLLING,
     Kind.SERIES: {**MIXED, Act.ROLL: 2},
+    Kind.DRILLS: {**MIXED, Act.DRILL: 4, Act.REPLACE: 6, Act.ROLL: 1},
     Kind.LIMITS: {**MIXED, Act.LIMIT: 8, Act.ROLL: 1},
     Kind.CRASHES: {**MIXED, Act.CRASH: 8, Act.CRASHING: 2},
 }
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -90,6 +90,7 @@
                 "while False:",
             ),
         ),
+        plan.Kind.ROLLING,
     ),
     Plant(
         "work is broken off long before its time limit",
@@ -118,6 +119,18 @@
             ),
         ),
     ),
+    Plant(
+        "places in the store are compared by offsets alone",
+        "draining",
+        (
+            Change(
+                f"{CORE}/deployment/places.py",
+                "return era * OFFSETS + offset",
+                "return offset",
+            ),
+        ),
+        plan.Kind.DRILLS,
+    ),
     Plant(
         "a limit that a target names is not kept",
         "limit",
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import pathlib
 import random
 import signal
@@ -16,7 +17,16 @@
 from zinniastand_proxy.edge import http_server
 from zinniastand_standins import topic_store, topic_store_app
 
-from . import callers, ledger, links, plan, promises, targets, vms
+from . import (
+    callers,
+    ledger,
+    links,
+    plan,
+    promises,
+    shared_store,
+    targets,
+    vms,
+)
 
 TARGETS = {"desk": 4, "register": 3}
 UNNOTED = (
@@ -112,10 +122,11 @@
         self._folder = folder
         self._program = program
         self._book = ledger.Ledger()
-        self._store = topic_store.TopicStore()
+        self._store = shared_store.SharedStore()
         self._targets: list[targets.Target] = []
         self._vms: list[vms.Vm] = []
         self._target_numbers = 0
+        self._sequences = itertools.count(1)
         self._busy: set[int] = set()
         self._calm_from = 0.0
 
@@ -187,12 +198,14 @@
                 await _trouble(vm.store, step)
                 return f"vm-{vm.number}"
             case plan.Act.STORE:
-                self._store.fault = topic_store.Fault(step.how)
+                self._store.topics.fault = topic_store.Fault(step.how)
                 await anyio.sleep(step.for_s)
-                self._store.fault = topic_store.Fault.NONE
+                self._store.topics.fault = topic_store.Fault.NONE
+            case plan.Act.DRILL:
+                await self._store.return_from_copy(step.for_s)
             case plan.Act.FORGET:
-                self._store.forget(words.TARGETS_TOPIC)
-                self._store.forget(words.CONFIGURATION_TOPIC)
+                self._store.topics.forget(words.TARGETS_TOPIC)
+                self._store.topics.forget(words.CONFIGURATION_TOPIC)
             case plan.Act.PUBLISH:
                 self._publish()
             case plan.Act.ROLL:
@@ -287,7 +300,7 @@
             self._busy.discard(vm.number)
 
     async def _start_store(self) -> None:
-        app = topic_store_app.TopicStoreApp(self._store)
+        app = topic_store_app.TopicStoreApp(self._store.topics)
         server = http_server.Server(app, configuration.Limits, _fail)
         self._store_port = await self._group.start(server.serve, links.HOST, 0)
 
@@ -323,7 +336,9 @@
 
     def _register(self, target: targets.Target, state: str) -> None:
         address = f"{links.HOST}:{target.link.port}"
-        value = encoding.encode_entry(target.service, address, targets.SLOTS, state)
+        value = encoding.encode_entry(
+            target.service, address, targets.SLOTS, state, next(self._sequences)
+        )
         self._store.put(words.TARGETS_TOPIC, target.target_id, value)
 
     async def _replace(self, target: targets.Target) -> None:
--- /dev/null
+++ b/soak/shared_store.py
@@ -0,0 +1,39 @@
+"""The store of a soak, and what operators and targets have written to it."""
+
+from __future__ import annotations
+
+import anyio
+
+from zinniastand_standins import topic_store
+
+AWAY_FOR = 0.4
+"""Seconds for which the store is away before it returns from a copy."""
+
+WRITTEN_AGAIN_AFTER = 0.8
+"""Seconds after which what it has lost is written again."""
+
+
+class SharedStore:
+    """Keeps what others than VMs write, which they write again where it is lost."""
+
+    def __init__(self) -> None:
+        self.topics = topic_store.TopicStore()
+        self._written: list[tuple[str, str, bytes]] = []
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write as the operator or a target does; an empty value drops the key."""
+        self._written.append((topic, key, value))
+        self.topics.put(topic, key, value)
+
+    async def return_from_copy(self, after: float) -> None:
+        """Be away after some seconds, and return as it is now."""
+        copy = self.topics.take_copy()
+        begin = len(self._written)
+        await anyio.sleep(after)
+        self.topics.fault = topic_store.Fault.BUSY
+        await anyio.sleep(AWAY_FOR)
+        self.topics.return_from(copy)
+        self.topics.fault = topic_store.Fault.NONE
+        await anyio.sleep(WRITTEN_AGAIN_AFTER)
+        for topic, key, value in self._written[begin:]:
+            self.topics.put(topic, key, value)
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -66,6 +66,16 @@
     assert report.served > 0.5 * report.sent
 
 
+def test_every_promise_holds_where_the_store_returns_from_a_copy(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against leaving targets and older versions that a copy brings back.
+    shape = run.Shape(plan.Kind.DRILLS)
+    report = run.play(SHORT_SEEDS[0], tmp_path, shape=shape)
+    assert report.breaches == ()
+    assert report.served > 0.5 * report.sent
+
+
 def test_target_that_gets_more_than_its_limit_is_a_breach() -> None:
     book = make_book()
     book.limited.append(ledger.Limited("t9", 2.0, 20.0, 40.0))
