Judge what a VM knew before its store returned from a copy

Targets write every half second in these runs, what stands is written again and not what was lost, copies are older, and leaving targets stay longer. A fault of the store excuses a VM only if it begins before the VM has had the time to learn; a fault of the VM itself still does. A second bug is planted: a copy that brings leaving targets back.

Parts of the run move to modules of their own.

--- a/soak/links.py
+++ b/soak/links.py
@@ -94,6 +94,12 @@
             for stream in list(self._open):
                 await _reset(stream)
 
+    async def suffer(self, trouble: Trouble, seconds: float) -> None:
+        """Be in trouble for some seconds."""
+        await self.begin(trouble)
+        await anyio.sleep(seconds)
+        self.end()
+
     def crash(self) -> None:
         """Close all connections and take no more, as a process that ends does."""
         self._listening.cancel()
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -131,6 +131,18 @@
         ),
         plan.Kind.DRILLS,
     ),
+    Plant(
+        "a copy of the store brings leaving targets back",
+        "draining",
+        (
+            Change(
+                f"{CORE}/deployment/targets.py",
+                "return is_later_era and entry.sequence <= known.sequence",
+                "return False",
+            ),
+        ),
+        plan.Kind.DRILLS,
+    ),
     Plant(
         "a limit that a target names is not kept",
         "limit",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -329,14 +329,17 @@
     """Return from when on, up to `at`, a VM could learn what the store knew `since`.
 
     That is after the last fault of the store or the VM, and the time of calm after it.
+    What a VM has had the time to learn, it keeps, whatever becomes of the store.
     """
-    touched = {"store", _name(vm)}
-    ends = [
-        min(one.end, at) + CALM_BEFORE
-        for one in book.disturbed
-        if one.touched in touched and one.begin <= at and one.end >= since - CALM_BEFORE
-    ]
-    return max([since, *ends])
+    reachable = since
+    for one in sorted(book.disturbed, key=lambda one: one.begin):
+        if one.begin > at or one.end < since - CALM_BEFORE:
+            continue
+        is_own = one.touched == _name(vm)
+        is_known = one.begin > reachable + DRAIN_BOUND + SLACK
+        if is_own or (one.touched == "store" and not is_known):
+            reachable = max(reachable, min(one.end, at) + CALM_BEFORE)
+    return reachable
 
 
 def _name(vm: int) -> str:
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,6 @@
 import pathlib
 import random
 import signal
-import socket
 
 import anyio
 import anyio.abc
@@ -21,6 +20,7 @@
     callers,
     ledger,
     links,
+    operators,
     plan,
     promises,
     shared_store,
@@ -64,6 +64,16 @@
 LEAVE_AFTER = 4.0
 """Seconds for which a draining target serves on."""
 
+LEAVE_LATE = 8.0
+"""The same where the store returns from copies: longer than it takes to be known again
+what was lost."""
+
+LEAST_COPY_AGE = 2.5
+"""Least seconds that a copy is old when the store returns from it."""
+
+BEAT_PAUSE = 0.5
+"""Seconds between two writes of a target in such a run."""
+
 RETURN_AFTER = 1.0
 """Seconds after a fault for which what it broke may still show."""
 
@@ -139,7 +149,7 @@
             for service, count in TARGETS.items():
                 for _ in range(count):
                     await self._start_target(service)
-            self._publish()
+            operators.publish(self._store, self._book)
             await self._make_vms()
             async with vms.ending(self._vms):
                 await self._play(steps)
@@ -164,6 +174,8 @@
         self._load, self._stop = load, stop
         for vm in self._vms:
             group.start_soon(vm.follow_readiness)
+        if self._shape.kind is plan.Kind.DRILLS:
+            group.start_soon(self._beat)
         async with anyio.create_task_group() as clients:
             self._clients = clients
             for _ in range(max(LEAST_CALLERS, self._shape.vms)):
@@ -178,15 +190,36 @@
             stop.set()
 
     async def _do(self, step: plan.Step) -> None:
+        if step.act is plan.Act.DRILL:
+            await self._drill(step)
+            return
         begin = anyio.current_time()
         touched = await self._act(step)
         if step.act in UNNOTED:
             return
+        self._note_disturbed(step, touched, begin)
+
+    def _note_disturbed(self, step: plan.Step, touched: str, begin: float) -> None:
         end = anyio.current_time() + RETURN_AFTER
         self._book.disturbed.append(
             ledger.Disturbed(step.act.value, touched, begin, end)
         )
 
+    async def _drill(self, step: plan.Step) -> None:
+        """Let the store return from a copy; it is disturbed only from then on."""
+        copy, written = self._store.take_copy()
+        await anyio.sleep(LEAST_COPY_AGE + step.for_s)
+        begin = anyio.current_time()
+        await self._store.return_from(copy, written)
+        self._note_disturbed(step, "store", begin)
+
+    async def _beat(self) -> None:
+        """Let targets write regularly, as they do while they are there."""
+        while True:
+            await anyio.sleep(BEAT_PAUSE)
+            for target in list(self._targets):
+                self._register(target, "ready")
+
     async def _act(self, step: plan.Step) -> str:
         """Do one step until it is over; return what it touched."""
         vm = self._vms[step.which % len(self._vms)]
@@ -195,19 +228,17 @@
                 await self._signal(step, vm)
                 return f"vm-{vm.number}"
             case plan.Act.STORE_LINK:
-                await _trouble(vm.store, step)
+                await vm.store.suffer(links.Trouble(step.how), step.for_s)
                 return f"vm-{vm.number}"
             case plan.Act.STORE:
                 self._store.topics.fault = topic_store.Fault(step.how)
                 await anyio.sleep(step.for_s)
                 self._store.topics.fault = topic_store.Fault.NONE
-            case plan.Act.DRILL:
-                await self._store.return_from_copy(step.for_s)
             case plan.Act.FORGET:
                 self._store.topics.forget(words.TARGETS_TOPIC)
                 self._store.topics.forget(words.CONFIGURATION_TOPIC)
             case plan.Act.PUBLISH:
-                self._publish()
+                operators.publish(self._store, self._book)
             case plan.Act.ROLL:
                 await self._roll(step)
             case plan.Act.ABSENT:
@@ -232,7 +263,7 @@
                 await self._corner(target, step)
                 return target.target_id
             case plan.Act.TARGET_LINK:
-                await _trouble(target.link, step)
+                await target.link.suffer(links.Trouble(step.how), step.for_s)
                 return target.target_id
             case plan.Act.LIMIT:
                 target.begin_limit(LIMIT)
@@ -264,17 +295,10 @@
                 await anyio.sleep(ROLL_PAUSE)
 
     async def _announce_absent(self, step: plan.Step) -> None:
-        """Register a target at an address that is held and refuses connections."""
         self._target_numbers += 1
+        service = list(TARGETS)[step.which % len(TARGETS)]
         name = f"t{self._target_numbers}"
-        with socket.socket() as held:
-            held.bind((links.HOST, 0))
-            address = f"{links.HOST}:{held.getsockname()[1]}"
-            service = list(TARGETS)[step.which % len(TARGETS)]
-            value = encoding.encode_entry(service, address, targets.SLOTS, "ready")
-            self._store.put(words.TARGETS_TOPIC, name, value)
-            await anyio.sleep(step.for_s)
-            self._store.put(words.TARGETS_TOPIC, name, b"")
+        await operators.announce_absent(self._store, name, service, step.for_s)
 
     async def _signal(self, step: plan.Step, vm: vms.Vm) -> None:
         if vm.number in self._busy:
@@ -350,23 +374,10 @@
         now = anyio.current_time()
         self._book.drained.append(ledger.Drained(target.target_id, now))
         self._targets.remove(target)
-        await anyio.sleep(LEAVE_AFTER)
+        is_long = self._shape.kind is plan.Kind.DRILLS
+        await anyio.sleep(LEAVE_LATE if is_long else LEAVE_AFTER)
         self._store.put(words.TARGETS_TOPIC, target.target_id, b"")
 
-    def _publish(self) -> None:
-        version = len(self._book.published) + 1
-        moving = ("desk", "register")[version % 2]
-        routes = [
-            _make_route("/safe/", "safe", "desk"),
-            _make_route("/once/", "unsafe", "desk"),
-            _make_route("/other/", "unsafe", "register"),
-            _make_route("/moving/", "unsafe", moving),
-        ]
-        value = encoding.encode_configuration(version, routes)
-        self._store.put(words.CONFIGURATION_TOPIC, words.CONFIGURATION_KEY, value)
-        now = anyio.current_time()
-        self._book.published.append(ledger.Published(version, moving, now))
-
 
 DEFAULT_SHAPE = Shape()
 
@@ -383,18 +394,6 @@
     return anyio.run(soak.run)
 
 
-async def _trouble(link: links.Link, step: plan.Step) -> None:
-    await link.begin(links.Trouble(step.how))
-    await anyio.sleep(step.for_s)
-    link.end()
-
-
-def _make_route(prefix: str, kind: str, service: str) -> list[object]:
-    limit = int(promises.TIME_LIMIT * words.MILLISECONDS)
-    host = callers.HOST.decode()
-    return [prefix, host, prefix, kind, limit, 600, 1, service, 2]
-
-
 def _fail(error: BaseException) -> None:
     """Let an unexpected error of a stand-in end the soak.
 
--- a/soak/shared_store.py
+++ b/soak/shared_store.py
@@ -25,15 +25,20 @@
         self._written.append((topic, key, value))
         self.topics.put(topic, key, value)
 
-    async def return_from_copy(self, after: float) -> None:
-        """Be away after some seconds, and return as it is now."""
-        copy = self.topics.take_copy()
-        begin = len(self._written)
-        await anyio.sleep(after)
+    def take_copy(self) -> tuple[topic_store.Copy, int]:
+        """Return a copy, and how much had been written until then."""
+        return self.topics.take_copy(), len(self._written)
+
+    async def return_from(self, copy: topic_store.Copy, written: int) -> None:
+        """Be away for a moment, and return from a copy.
+
+        Whoever wrote since writes again what stands now, not all that was lost.
+        """
         self.topics.fault = topic_store.Fault.BUSY
         await anyio.sleep(AWAY_FOR)
         self.topics.return_from(copy)
         self.topics.fault = topic_store.Fault.NONE
         await anyio.sleep(WRITTEN_AGAIN_AFTER)
-        for topic, key, value in self._written[begin:]:
+        newest = {(one[0], one[1]): one for one in self._written[written:]}
+        for topic, key, value in newest.values():
             self.topics.put(topic, key, value)
