Let no old word bring back a limit that has lifted

Hypothesis: a limit does not lift for long where two dispatch. One that has little work does not hear that its target names none any more, and goes on to tell of the limit; the other, which has had an answer without it, takes it in again and again.

Evidence: a test on the code before got one slot instead of two.

Change: opinions tell how long ago an answer named the limit, and what was named before the last answer without one counts no more. Measured: the tests.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -282,7 +282,8 @@
             if granted is not None:
                 state.lift_limit(granted.started_at)
         elif state.limit is None:
-            state.limit = rate_limit.begin(rate, now, self._read_share(), self._rng)
+            share = self._read_share()
+            state.limit = rate_limit.begin(rate, now, share, self._rng, now)
         else:
             state.limit.use(rate, now)
 
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -16,6 +16,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from ..deployment import targets
 from . import beliefs, mechanisms, messages, rate_limit, work_times
@@ -145,6 +146,7 @@
         self.slowness = work_times.Slowness(now)
         self.tickets: set[str] = set()
         self.limit: rate_limit.RateLimit | None = None
+        self._unlimited_at = -math.inf
         self._granted_at = now
         self._paused_until = 0.0
         self._trial_at = 0.0
@@ -166,8 +168,13 @@
         Answers come from many VMs and may be heard in another order. So a limit lifts
         only by a request that was sent after it was last named.
         """
-        if self.limit is not None and sent_at >= self.limit.named_at:
+        if self.limit is None or sent_at >= self.limit.named_at:
             self.limit = None
+            self._unlimited_at = max(self._unlimited_at, sent_at)
+
+    def may_have_limit(self, named_at: float) -> bool:
+        """Return whether a limit that was named then may still hold."""
+        return self.limit is None and named_at > self._unlimited_at
 
     def count_working_slots(self, mean: float) -> float:
         """Return the slots that it can use, for work that takes so long on average."""
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/rate_limit.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/rate_limit.py
@@ -33,15 +33,15 @@
         Requests a second from all VMs together.
     due_at : float
         When the next request is due.
-    now : float
-        When the target was last known to name it.
+    named_at : float
+        When an answer has last named it.
     """
 
-    def __init__(self, rate: float, due_at: float, now: float) -> None:
+    def __init__(self, rate: float, due_at: float, named_at: float) -> None:
         self._rate = max(LEAST_RATE, rate)
         self._due_at = due_at
         self._others_until: dict[str, float] = {}
-        self.named_at = now
+        self.named_at = named_at
 
     @property
     def rate(self) -> float:
@@ -82,11 +82,13 @@
         self._others_until[vm] = now + OTHERS_FOR
 
 
-def begin(rate: float, now: float, share: float, rng: random.Random) -> RateLimit:
-    """Return the limit of a target that has just named it.
+def begin(
+    rate: float, now: float, share: float, rng: random.Random, named_at: float
+) -> RateLimit:
+    """Return the limit of a target from now on.
 
     The first request is due at a random time within its turn: VMs that each use a small
     part of a rate would otherwise all send at the same moment.
     """
     turn = 1 / (max(LEAST_RATE, rate) * share)
-    return RateLimit(rate, now + BURST + rng.random() * turn, now)
+    return RateLimit(rate, now + BURST + rng.random() * turn, named_at)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -131,6 +131,9 @@
     due_in: float = 0.0
     """Seconds until the next request is due at that rate."""
 
+    named_ago: float = 0.0
+    """Seconds since an answer has named it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opinions:
@@ -325,7 +328,7 @@
     fields = [opinion.target_id, opinion.failing, opinion.slowness]
     if opinion.rate_limit is None:
         return fields
-    return [*fields, opinion.rate_limit, opinion.due_in]
+    return [*fields, opinion.rate_limit, opinion.due_in, opinion.named_ago]
 
 
 def _unpack_report(fields: list) -> messages.Report:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -228,7 +228,8 @@
         if opinion.rate_limit is None:
             return
         due_at = now + opinion.due_in
-        self._limits.note(opinion.target_id, opinion.rate_limit, due_at, now)
+        named_at = now - opinion.named_ago
+        self._limits.note(opinion.target_id, opinion.rate_limit, due_at, named_at)
         for shard, known in self._dispatchers.items():
             state = known.pool.find(opinion.target_id)
             if state is not None:
@@ -239,15 +240,20 @@
     def _give_limit(
         self, state: pool.TargetState, shard: shards.Shard, now: float
     ) -> None:
-        """Let a dispatcher know of a limit that it has not heard of by itself."""
+        """Let a dispatcher know of a limit that it has not heard of by itself.
+
+        Not where an answer to it has named none since.
+        """
         limit = self._limits.find(state.entry, now)
-        if limit is None or state.limit is not None:
+        if limit is None or not state.may_have_limit(limit.named_at):
             return
         share = self._find_share(shard)
         if share < 1.0:
-            state.limit = rate_limit.begin(limit.rate, now, share, self._rng)
+            state.limit = rate_limit.begin(
+                limit.rate, now, share, self._rng, limit.named_at
+            )
         else:
-            state.limit = rate_limit.RateLimit(limit.rate, limit.due_at, now)
+            state.limit = rate_limit.RateLimit(limit.rate, limit.due_at, limit.named_at)
 
     def _open(self, shard: shards.Shard, now: float) -> dispatcher.Dispatcher:
         known = self._dispatchers.get(shard)
@@ -334,7 +340,9 @@
     )
     if state.limit is None:
         return opinion
-    due_in = max(0.0, state.limit.due_at - now)
     return dataclasses.replace(
-        opinion, rate_limit=state.limit.rate, due_in=round(due_in, 2)
+        opinion,
+        rate_limit=state.limit.rate,
+        due_in=round(max(0.0, state.limit.due_at - now), 2),
+        named_ago=round(max(0.0, now - state.limit.named_at), 2),
     )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/named_limits.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/named_limits.py
@@ -25,8 +25,8 @@
     born: int
     """Which start of the target has named it."""
 
-    until: float
-    """Until when it is kept."""
+    named_at: float
+    """When an answer has last named it."""
 
 
 class NamedLimits:
@@ -42,25 +42,25 @@
         self._registry = registry
         self._limits: dict[str, Limit] = {}
 
-    def note(self, target_id: str, rate: float, due_at: float, now: float) -> None:
+    def note(self, target_id: str, rate: float, due_at: float, named_at: float) -> None:
         """Take in the limit of a target, infinite for none."""
         entry = self._registry.find(target_id)
         if entry is None or math.isinf(rate):
             self._limits.pop(target_id, None)
             return
-        self._limits[target_id] = Limit(rate, due_at, entry.born, now + KEEP_FOR)
+        self._limits[target_id] = Limit(rate, due_at, entry.born, named_at)
 
     def find(self, entry: targets.Entry, now: float) -> Limit | None:
         """Return the limit of a target, if it has named one lately."""
         known = self._limits.get(entry.target_id)
-        if known is None or known.until <= now or known.born != entry.born:
+        if known is None or known.born != entry.born:
             return None
-        return known
+        return known if now < known.named_at + KEEP_FOR else None
 
     def forget_gone(self, now: float) -> None:
         """Forget limits that are old, and those of targets that have left."""
         self._limits = {
             name: limit
             for name, limit in self._limits.items()
-            if limit.until > now and self._registry.find(name) is not None
+            if now < limit.named_at + KEEP_FOR and self._registry.find(name) is not None
         }
--- a/tests/dispatch/test_rate_limit.py
+++ b/tests/dispatch/test_rate_limit.py
@@ -74,7 +74,7 @@
 
 def test_vms_that_decide_alone_share_a_rate() -> None:
     rng = random.Random(2)
-    limits = [rate_limit.begin(3.8, 0.0, 1 / 36, rng) for _ in range(36)]
+    limits = [rate_limit.begin(3.8, 0.0, 1 / 36, rng, 0.0) for _ in range(36)]
     times = take_all(limits, 0.0, 60.0, share=1 / 36)
     assert find_busiest(times) <= find_most(3.8)
     assert len(times) >= 0.9 * 3.8 * 60.0
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -24,7 +24,10 @@
     datagrams.VersionNotice("vm-1", 5),
     datagrams.Opinions(SHARD, (datagrams.Opinion("t1", 0.2, 1.5),), (("r", 0.2),)),
     datagrams.Opinions(
-        SHARD, (datagrams.Opinion("t1", 0.2, 1.5, 3.8, 0.25),), (("r", 0.2),), "vm-1"
+        SHARD,
+        (datagrams.Opinion("t1", 0.2, 1.5, 3.8, 0.25, 1.5),),
+        (("r", 0.2),),
+        "vm-1",
     ),
     datagrams.Asked("vm-1", ASK),
     datagrams.Adopted("vm-1", messages.Held(ASK, "t1")),
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 
 import anyio
@@ -76,6 +77,22 @@
     assert count_retries(made, decisions, "vm-1") == 0
 
 
+async def test_old_word_of_another_dispatcher_brings_no_lifted_limit_back() -> None:
+    # One that has little work may not have heard of the lift for long, and goes on to
+    # tell of the limit.
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    first = dataclasses.replace(ASK, attempt=1, deadline_at=now + 9, objective_at=now)
+    made.ask("vm-1", dataclasses.replace(first, ticket="k1"), now)
+    good = messages.Outcome.GOOD
+    whole = shards.Shard("desk")
+    made.report(messages.Report("k1", whole, "t1", good, 0.1, "vm-1", math.inf), now)
+    opinion = datagrams.Opinion("t1", 0.1, 1.0, 1.0, 0.8, named_ago=2.0)
+    made.take_opinions(datagrams.Opinions(whole, (opinion,), (), "vm-3"), now)
+    made.ask("vm-1", dataclasses.replace(first, ticket="k2"), now)
+    assert sum(isinstance(one, messages.Grant) for one in decisions) == 2
+
+
 async def test_dispatcher_that_others_ask_does_not_wait_for_a_small_part() -> None:
     # It asked itself first, and took itself for one that decides alone.
     made, decisions = make_desk(vms=20)
