Check for a crash only after the answer broke off

A VM used the result of a check again for half a second, also where it was older than the break; a target that had just reset a connection and lived on was taken to live through a crash. And the stand-in closed its connections before it stopped listening, so that checks found a listener, under load for some tens of milliseconds; a process that ends does not take connections by then.

Evidence: the trace; a test of the first cause, which shows a check of before for a crash of after. Change: a check counts only if it began at the break or later, within 50 ms; the stand-in stops listening first.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
@@ -14,9 +14,12 @@
 notices some hundredths of a second later; silence says nothing, since the link may be
 cut."""
 
+SAME_BREAK = 0.05
+"""Seconds by which a check may have begun before an answer broke off: whatever a target
+held when it crashed breaks in the same moment."""
+
 KEEP_FOR = 0.5
-"""Seconds for which the result of a check is used again: whatever a target held when it
-crashed breaks in the same moment."""
+"""Seconds for which the result of a check is kept."""
 
 
 class CrashCheck:
@@ -26,32 +29,32 @@
         self._is_down: dict[str, tuple[bool, float]] = {}
         self._under_way: dict[str, anyio.Event] = {}
 
-    async def is_down(self, target: targets.Entry) -> bool:
-        """Return whether a target refuses connections."""
+    async def is_down(self, target: targets.Entry, broke_at: float) -> bool:
+        """Return whether a target refuses connections since an answer broke off."""
         name = target.target_id
         while name in self._under_way:
             await self._under_way[name].wait()
-        now = anyio.current_time()
         known = self._is_down.get(name)
-        if known is not None and now < known[1] + KEEP_FOR:
+        if known is not None and known[1] >= broke_at - SAME_BREAK:
             return known[0]
+        began = anyio.current_time()
         done = self._under_way[name] = anyio.Event()
         try:
             is_down = await _refuses(target)
         finally:
             del self._under_way[name]
             done.set()
-        self._keep(name, is_down)
+        self._keep(name, is_down, began)
         return is_down
 
-    def _keep(self, name: str, is_down: bool) -> None:
+    def _keep(self, name: str, is_down: bool, began: float) -> None:
         now = anyio.current_time()
         self._is_down = {
             known: result
             for known, result in self._is_down.items()
             if now < result[1] + KEEP_FOR
         }
-        self._is_down[name] = (is_down, now)
+        self._is_down[name] = (is_down, began)
 
 
 async def _refuses(target: targets.Entry) -> bool:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -245,7 +245,8 @@
             attempt = await self._send(target, started)
             outcome, why = attempt_ends.OUTCOMES[attempt.result], attempt.detail
             rate_limit = attempt.rate_limit
-            has_crashed = attempt.is_cut and await self._parts.is_down(target)
+            broke_at = anyio.current_time()
+            has_crashed = attempt.is_cut and await self._parts.is_down(target, broke_at)
             if has_crashed:
                 self._parts.suspects.note_crash(self._fingerprint, target, started)
             elif attempt.is_success:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_parts.py
@@ -44,8 +44,10 @@
     suspects: ports.SuspectRecord
     """Requests that crash their targets."""
 
-    is_down: collections.abc.Callable[[targets.Entry], collections.abc.Awaitable[bool]]
-    """Returns whether a target refuses connections."""
+    is_down: collections.abc.Callable[
+        [targets.Entry, float], collections.abc.Awaitable[bool]
+    ]
+    """Returns whether a target refuses connections since an answer broke off."""
 
     check_time: collections.abc.Callable[[], None]
     """Notices a suspension, and takes its time from all runs."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -81,8 +81,12 @@
         async with listener:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started(self.port)
-            with self._listening:
-                await listener.serve(self._pass)
+            async with anyio.create_task_group() as group:
+                with self._listening:
+                    await listener.serve(self._pass, group)
+                # A process that ends stops listening before its connections close.
+                await listener.aclose()
+                group.cancel_scope.cancel()
 
     async def begin(self, trouble: Trouble) -> None:
         """Let a trouble begin."""
--- a/tests/edge/test_crash_check.py
+++ b/tests/edge/test_crash_check.py
@@ -36,7 +36,8 @@
         work = services.Work.AT_MOST_ONCE
         seen = await client.attempt(target, request, work, lambda: None)
         assert (seen.result, seen.is_cut) == (plan.Result.BROKEN, True)
-        assert not await crash_check.CrashCheck().is_down(target)
+        now = anyio.current_time()
+        assert not await crash_check.CrashCheck().is_down(target, now)
         group.cancel_scope.cancel()
 
 
@@ -44,7 +45,8 @@
     with socket.socket() as unused:
         unused.bind(("127.0.0.1", 0))
         target = make_target(unused.getsockname()[1])
-        assert await crash_check.CrashCheck().is_down(target)
+        now = anyio.current_time()
+        assert await crash_check.CrashCheck().is_down(target, now)
 
 
 async def test_one_check_serves_all_that_a_crash_breaks() -> None:
@@ -62,7 +64,18 @@
         target = make_target(listener.extra(anyio.abc.SocketAttribute.local_port))
         async with anyio.create_task_group() as checks:
             for _ in range(20):
-                checks.start_soon(check.is_down, target)
+                checks.start_soon(check.is_down, target, anyio.current_time())
         await anyio.sleep(0.05)
         group.cancel_scope.cancel()
     assert connections == 1
+
+
+async def test_check_of_before_says_nothing_of_a_later_crash() -> None:
+    # A target resets a connection and lives on; soon after it crashes.
+    check = crash_check.CrashCheck()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    target = make_target(listener.extra(anyio.abc.SocketAttribute.local_port))
+    assert not await check.is_down(target, anyio.current_time())
+    await listener.aclose()
+    await anyio.sleep(2 * crash_check.SAME_BREAK)
+    assert await check.is_down(target, anyio.current_time())
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -99,7 +99,7 @@
         """Return none: every attempt opens a connection."""
         return []
 
-    async def is_down(self, target: targets.Entry) -> bool:
+    async def is_down(self, target: targets.Entry, broke_at: float) -> bool:
         """Return whether a target has crashed."""
         return self.scripts[target.target_id].has_crashed
 
