Keep a target whose lost entry is written again as it was

One that writes the very entry again that was lost, with the same sequence, counted as outdated and was dropped.

Evidence: a test on the code before lost the target. Change: for a target that is still in use the same sequence counts as a sign of life; a removed one needs a later one. Measured: the tests.

--- a/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
+++ b/packages/zinniastand-core/src/zinniastand_core/deployment/targets.py
@@ -197,15 +197,18 @@
         """Return whether an entry of a later era says what was known before it.
 
         A store that returns from a copy shows what its targets wrote before the copy
-        was made: one that has left since would be ready again. Within an
-        era the order of the entries decides.
+        was made: one that has left since would be ready again. Within an era the order
+        of the entries decides.
         """
-        known = self._entries.get(entry.target_id)
-        known = known or self._removed.get(entry.target_id)
+        current = self._entries.get(entry.target_id)
+        known = current or self._removed.get(entry.target_id)
         if known is None or entry.born != known.born:
             return False
-        is_later_era = places.find_era(entry.position) > places.find_era(known.position)
-        return is_later_era and entry.sequence <= known.sequence
+        if places.find_era(entry.position) <= places.find_era(known.position):
+            return False
+        # One that is in use may write the same again; one that was removed has left.
+        is_again = current is not None and entry.sequence == known.sequence
+        return entry.sequence <= known.sequence and not is_again
 
     def _remove(self, gone: list[Gone], now: float) -> list[Change]:
         """Remove targets, slowly where many vanish at the same moment.
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -137,7 +137,7 @@
         (
             Change(
                 f"{CORE}/deployment/targets.py",
-                "return is_later_era and entry.sequence <= known.sequence",
+                "return entry.sequence <= known.sequence and not is_again",
                 "return False",
             ),
         ),
--- a/tests/deployment/test_targets.py
+++ b/tests/deployment/test_targets.py
@@ -169,6 +169,14 @@
     assert list_names(registry, 10.0 + targets.REWRITE_GRACE + 0.1) == {"a"}
 
 
+def test_target_whose_lost_entry_is_written_again_as_it_was_stays() -> None:
+    registry = targets.Registry()
+    registry.replace([make_entry("a", 90), make_entry("b", 91, sequence=7)], 95, 0.0)
+    registry.replace([make_entry("a", NEXT_ERA + 1)], NEXT_ERA + 2, 10.0)
+    registry.apply([make_entry("b", NEXT_ERA + 2, sequence=7)], 10.5)
+    assert list_names(registry, 20.0) == {"a", "b"}
+
+
 @hypothesis.given(st.randoms(use_true_random=False), st.integers(1, 3))
 def test_any_order_of_what_a_store_says_ends_with_the_newest(
     rng: random.Random, eras: int
