--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -66,6 +66,9 @@
     pressure: float = shards.USUAL_PRESSURE
     """How full the shard is; 1 is a request for each proven slot."""
 
+    dispatcher: str = ""
+    """VM that gave it, for the log; empty until the asker has taken it in."""
+
 
 class RefusalReason(enum.StrEnum):
     """Why an ask got no target."""
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/account.py
@@ -15,6 +15,11 @@
 MOST_NAMES = 20_000
 """Targets, VMs and repeated requests that are counted by name."""
 
+UNSENT = frozenset({"unreachable", "unused"})
+"""Outcomes of attempts that reached no target."""
+
+MILLISECONDS = 1000.0
+
 Key = tuple[causes.Result, causes.Cause | None]
 
 
@@ -81,6 +86,8 @@
         self.events: collections.Counter[str] = collections.Counter()
         self.store_returns: dict[int, float] = {}
         self.crashes: dict[str, CrashRow] = {}
+        self.asked: dict[str, collections.Counter[int]] = {}
+        self.retries: dict[str, collections.Counter[tuple[int, str]]] = {}
         self.tried_again = 0
         self.unanswered = 0
         self.lines_dropped = 0
@@ -134,6 +141,7 @@
         attempt = parse_attempt(record)
         self.attempts[attempt.outcome] += 1
         self._count_target(attempt)
+        self._count_retry(attempt)
         self._count_crash(attempt)
         key = (record["vm"], str(record.get("request")))
         self._open[key] = (*self._open.get(key, ()), attempt)
@@ -158,6 +166,17 @@
             row.doubt += attempt.doubt
             row.failed += attempt.outcome != "good"
 
+    def _count_retry(self, attempt: causes.Attempt) -> None:
+        """Count an attempt after the first, by when it was sent and who gave the slot.
+
+        One that reached no target is none.
+        """
+        if attempt.number < 2 or attempt.outcome in UNSENT:
+            return
+        sent = attempt.second - int(attempt.took / MILLISECONDS)
+        by_dispatcher = self.retries.setdefault(attempt.service, collections.Counter())
+        by_dispatcher[sent, attempt.dispatcher] += 1
+
     def _count_crash(self, attempt: causes.Attempt) -> None:
         """Count requests by what they ask for, from their first crash on."""
         row = self.crashes.get(attempt.fingerprint)
@@ -182,6 +201,8 @@
         second = int(read_number(record, "time"))
         service = str(record.get("service") or _name_service(attempts))
         place = self._places.get(vm, "")
+        begun = second - int(read_number(record, "ms") / MILLISECONDS)
+        self.asked.setdefault(service, collections.Counter())[begun] += 1
         for groups, name in (
             (self.by_second, second),
             (self.by_service, service),
@@ -206,10 +227,12 @@
         str(record.get("outcome", "")),
         str(record.get("why", "")),
         read_number(record, "ms"),
-        str(record.get("fingerprint", "")),
-        record.get("crashed") is True,
-        read_number(record, "limit") if "limit" in record else None,
-        int(read_number(record, "time")),
+        number=int(read_number(record, "number")),
+        dispatcher=str(record.get("dispatcher", "")),
+        fingerprint=str(record.get("fingerprint", "")),
+        has_crashed=record.get("crashed") is True,
+        limit=read_number(record, "limit") if "limit" in record else None,
+        second=int(read_number(record, "time")),
     )
 
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
@@ -105,6 +105,12 @@
     took: float
     """Milliseconds that it took."""
 
+    number: int = 1
+    """Which target of its request it went to."""
+
+    dispatcher: str = ""
+    """VM that gave the slot."""
+
     fingerprint: str = ""
     """Names what the request asks for; empty where the line does not tell."""
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -84,6 +84,20 @@
     if limits:
         names = ["target with a limit", "a second", "busiest seconds"]
         parts.append(output.format_table(names, limits))
+    retries = [
+        [
+            row.service,
+            row.begin,
+            row.retries,
+            row.requests,
+            ", ".join(f"{name} {count}" for name, count in row.dispatchers.items()),
+        ]
+        for row in summary.list_retries(found)
+    ]
+    if retries:
+        names = [f"most retries in {summary.RETRY_SPAN} s", "from", "retries"]
+        names += ["requests", "given by"]
+        parts.append(output.format_table(names, retries))
     if found.store_returns:
         described = summary.describe(found)["store_returns"]
         names = ["store returned from a copy, era", "first seen", "not served near"]
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -17,6 +17,9 @@
 SPAN = 4
 """Whole seconds over which attempts at a target with a limit are counted."""
 
+RETRY_SPAN = 10
+"""Whole seconds over which retries are counted, and the requests that allow them."""
+
 NOISE = 2.0
 """Standard deviations of a count below which two runs do not differ."""
 
@@ -83,6 +86,25 @@
     """Attempts a second in its busiest seconds since it first named one."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRow:
+    """The seconds of a service with the most retries."""
+
+    service: str
+    begin: int
+    """The first of these seconds."""
+
+    retries: int
+    """Attempts after the first of their request that were sent in them."""
+
+    requests: int
+    """Requests of the busiest of three spans: these seconds, those before, and those
+    between them."""
+
+    dispatchers: dict[str, int]
+    """Retries by the VM that gave the slot."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
     """One cause in two runs."""
@@ -145,6 +167,36 @@
     return sorted(rows, key=lambda row: row.limit - row.busiest)[:MOST_ROWS]
 
 
+def list_retries(found: account.Account) -> list[RetryRow]:
+    """Return the busiest seconds of each service, as far as retries go."""
+    return [_find_retries(found, service) for service in sorted(found.retries)]
+
+
+def _find_retries(found: account.Account, service: str) -> RetryRow:
+    sent, asked = found.retries[service], found.asked.get(service, {})
+    seconds = {second for second, _ in sent}
+    begins = range(min(seconds) - RETRY_SPAN + 1, max(seconds) + 1)
+    sums = {
+        begin: sum(
+            count
+            for (second, _), count in sent.items()
+            if begin <= second < begin + RETRY_SPAN
+        )
+        for begin in begins
+    }
+    begin = max(begins, key=lambda one: sums[one])
+    requests = max(
+        sum(asked.get(begin - back + n, 0) for n in range(RETRY_SPAN))
+        for back in (0, RETRY_SPAN // 2, RETRY_SPAN)
+    )
+    dispatchers: collections.Counter[str] = collections.Counter()
+    for (second, dispatcher), count in sent.items():
+        if begin <= second < begin + RETRY_SPAN:
+            dispatchers[dispatcher] += count
+    named = dict(dispatchers.most_common(MOST_ROWS))
+    return RetryRow(service, begin, sums[begin], requests, named)
+
+
 def _find_busiest(by_second: collections.Counter[int]) -> int:
     """Return the most attempts in any span of some whole seconds."""
     return max(
@@ -185,6 +237,7 @@
         "by_service": _name_keys(found.by_service),
         "by_data_centre": _name_keys(found.by_place),
         "by_vm": _name_keys(found.by_vm),
+        "retries": [dataclasses.asdict(row) for row in list_retries(found)],
         "limits": [dataclasses.asdict(row) for row in list_limits(found)],
         "crashes": [dataclasses.asdict(row) for row in list_crashes(found)],
         "targets": [dataclasses.asdict(row) for row in list_targets(found)],
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -99,7 +99,8 @@
             ended.outcome,
             ended.why,
             ended.took,
-            ended.has_crashed,
-            ended.rate_limit,
+            number=place.ask.attempt,
+            has_crashed=ended.has_crashed,
+            rate_limit=ended.rate_limit,
         )
     )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -269,6 +269,7 @@
         if isinstance(answer, messages.Grant):
             self._granters[ask.ticket] = [_Granter(vm, ask.shard)]
             self._held[ask.ticket] = messages.Held(ask, answer.target_id)
+            return dataclasses.replace(answer, dispatcher=vm)
         return answer
 
     def _withdraw(self, vm: str, ask: messages.Ask) -> None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_notes.py
@@ -46,6 +46,9 @@
     took: float
     """Seconds that it took."""
 
+    number: int = 1
+    """Which target of the request it is; those that were not reached do not count."""
+
     has_crashed: bool = False
     """Whether the target crashed while it held the request."""
 
@@ -121,6 +124,8 @@
             outcome=attempt.outcome.value,
             why=attempt.why,
             ms=round(attempt.took * MILLISECONDS),
+            number=attempt.number,
+            dispatcher=grant.dispatcher,
             **_describe_target(attempt),
         )
         self._counters.count(
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -179,6 +179,21 @@
     assert (row.target, row.limit, row.busiest) == ("t1", 1.5, 3.0)
 
 
+def test_busiest_seconds_of_retries_name_who_gave_them() -> None:
+    found = account.Account()
+    for second, dispatcher in ((100, "vm-1"), (101, "vm-2"), (109, "vm-2"), (115, "x")):
+        for number in (1, 2):
+            line = make_attempt(
+                "good", time=second + 0.5, number=number, dispatcher=dispatcher
+            )
+            found.take(json.loads(line))
+        found.take(json.loads(make_answer(200, "200", time=second + 0.6)))
+    found.take(json.loads(make_attempt("unreachable", number=2, dispatcher="vm-2")))
+    [row] = summary.list_retries(found)
+    assert (row.begin, row.retries, row.requests) == (100, 3, 3)
+    assert row.dispatchers == {"vm-1": 1, "vm-2": 2}
+
+
 def test_return_of_the_store_is_told_with_what_failed_around_it() -> None:
     found = account.Account()
     for vm, at in (("vm-1", 100.7), ("vm-2", 100.5)):
