--- /dev/null
+++ b/tests/edge/test_retry_bound.py
@@ -0,0 +1,66 @@
+"""The bound on a service's retries, counted at its targets, in virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from bench import retry_fleet
+from zinniastand_standins import retry_audit
+
+SHED = retry_fleet.Spell(8.0, 15.0, 0.55)
+SMALL = retry_fleet.Load(seconds=16.0, shed=SHED)
+LARGE = retry_fleet.Load(
+    vms=45,
+    count=60,
+    rate=300.0,
+    slots=3,
+    seconds=13.0,
+    shed=SHED,
+    bound=retry_audit.Bound(0.2, 110.0, 10.0),
+)
+
+
+def play(load: retry_fleet.Load, seed: int = 1) -> retry_fleet.Result:
+    return retry_fleet.Fleet(load, seed).play()
+
+
+@pytest.mark.parametrize("kills", [(9.5,), (9.5, 11.5)])
+def test_next_dispatcher_does_not_give_out_the_retries_of_the_last_one(
+    kills: tuple[float, ...],
+) -> None:
+    # Guards against counts that are lost with the VM that dispatched.
+    kinds = tuple(retry_fleet.Kill(at, 0.2) for at in kills)
+    result = play(dataclasses.replace(SMALL, kills=kinds))
+    assert result.worst.excess <= 0, result
+
+
+def test_dispatchers_that_are_taken_for_lost_give_out_no_retries_twice() -> None:
+    # Guards against two dispatchers that count one request each, and each a slack.
+    lag = retry_fleet.Spell(0.0, 20.0, 0.3)
+    result = play(dataclasses.replace(SMALL, lag=lag, slow=0.15))
+    assert result.worst.excess <= 0, result
+
+
+def test_retries_of_a_burst_are_not_all_given_out_after_it() -> None:
+    # Guards against a span of retries that begins when the burst is half over.
+    surge = retry_fleet.Spell(0.0, 8.0, 0.7)
+    result = play(dataclasses.replace(SMALL, surge=surge))
+    assert result.worst.excess <= 0, result
+
+
+def test_shards_whose_loads_swing_by_turns_keep_one_bound() -> None:
+    # Guards against a busiest span for each shard, which add up to more than that of
+    # the service.
+    result = play(dataclasses.replace(LARGE, wave=0.3))
+    assert result.worst.excess <= 0, result
+
+
+def test_calm_fleet_is_not_kept_from_retries() -> None:
+    # Guards against a bound that is kept by giving up what it allows.
+    failing = retry_fleet.Spell(0.0, 20.0, 0.1)
+    load = dataclasses.replace(SMALL, shed=retry_fleet.NEVER, failing=failing)
+    result = play(dataclasses.replace(load, idempotent=1.0))
+    assert result.refused["retry-budget"] == 0
+    assert result.served_share > 0.97
