--- a/bench/retry_fleet.py
+++ b/bench/retry_fleet.py
@@ -16,6 +16,7 @@
 import math
 import os
 import random
+import typing
 
 import anyio
 import anyio.abc
@@ -30,7 +31,9 @@
     calls,
     datagrams,
     desk,
+    fleet_talk,
     http_exchange,
+    knowledge_keeper,
     log_lines,
     members,
     peer_link,
@@ -39,6 +42,7 @@
     request_notes,
     request_run,
     run_parts,
+    suspect_exchange,
     target_client,
     unreachable_targets,
 )
@@ -228,9 +232,23 @@
             self._fleet.carry(message, member)
 
 
+def _fail(task: str, error: BaseException) -> None:
+    raise error
+
+
+class _NothingNew:
+    """Knows the same targets and configuration as all others."""
+
+    position = 0
+
+    def take_position(self, vm: str, position: int) -> None: ...
+
+
 class _Unsuspected:
     """Knows of no request that crashes its targets."""
 
+    def tell(self, member: ports.Member) -> None: ...
+
     def find_hold(self, fingerprint: str, now: float) -> float | None:
         return None
 
@@ -268,6 +286,14 @@
         self.desk.update_targets(now)
         self.placement = placement.Placement(self.members, link, log, rng)
         self.placement.use_desk(self.desk)
+        hearers = fleet_talk.Hearers(
+            self.desk,
+            typing.cast(knowledge_keeper.KnowledgeKeeper, _NothingNew()),
+            self.placement,
+            typing.cast(suspect_exchange.SuspectExchange, _Unsuspected()),
+        )
+        self.talk = fleet_talk.FleetTalk(self.members, link, hearers, log, _fail)
+        self.desk.use_announcer(self.talk.tell_retries)
         self._link = link
         numbers = itertools.count()
         self.parts = run_parts.Parts(
@@ -290,26 +316,6 @@
         hello = datagrams.Hello(self.member, wants_answer=True)
         self._link.send_many(hello, self.members.list_others())
 
-    def receive(self, message: datagrams.Message) -> None:
-        """Take in a datagram."""
-        now = anyio.current_time()
-        match message:
-            case datagrams.Hello():
-                self.members.add(message.member)
-                self.members.note_heard(message.member.vm, now)
-                if message.wants_answer:
-                    reply = datagrams.Hello(self.member, wants_answer=False)
-                    self._link.send(reply, message.member)
-            case datagrams.Asked():
-                self.members.note_heard(message.vm, now)
-                self.desk.ask(message.vm, message.ask, now)
-            case datagrams.Adopted():
-                self.desk.adopt(message.vm, message.held, now)
-            case messages.Report():
-                self.desk.report(message, now)
-            case messages.Grant() | messages.Refuse() | messages.Wait():
-                self.placement.take_decision(message)
-
     def kill(self) -> None:
         """End at once, with all that it works on."""
         self.is_killed = True
@@ -327,15 +333,14 @@
         return None
 
     async def run(self) -> None:
-        """Wake the dispatchers and greet silent VMs until killed."""
+        """Wake the dispatchers, and tell others what this VM knows, until killed."""
         with self._scope:
-            for number in itertools.count(1):
-                await anyio.sleep(WAKE_PAUSE)
-                now = anyio.current_time()
-                self.desk.wake(now)
-                if number % 20 == 0:
-                    hello = datagrams.Hello(self.member, wants_answer=True)
-                    self._link.send_many(hello, self.members.list_suspects(now))
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.talk.greet)
+                group.start_soon(self.talk.tell_opinions_regularly)
+                while True:
+                    await anyio.sleep(WAKE_PAUSE)
+                    self.desk.wake(anyio.current_time())
 
     def _deliver(self, vm: str, decision: messages.Decision) -> None:
         if vm == self.member.vm:
@@ -391,7 +396,7 @@
         def deliver() -> None:
             vm = self._vms.get(member.vm)
             if vm is not None:
-                vm.receive(message)
+                vm.talk.receive(message)
 
         self._wire.send(deliver)
 
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -127,15 +127,17 @@
             return [messages.Wait(ask.ticket)]
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
-        if ask.attempt > 1 and not self._retries.spend(now):
-            return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
+        if ask.attempt > 1:
+            if not self._retries.reserve(now):
+                return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
+            self._retries.spend(now)
         entry = waiting.Waiting(self._find_rank(ask, now), now, ask.ticket, ask)
         if not self._line.enter(entry, now):
-            self._take_back(entry)
+            self._take_back(entry, now)
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
         if ask.attempt == 1:
             # One that is refused here may be placed, and counted, in another shard.
-            self._retries.add_first(now)
+            self._retries.add_request(now)
         decisions = self._serve_queue(now)
         if any(one.ticket == ask.ticket for one in decisions):
             return decisions
@@ -149,7 +151,7 @@
         granted = self._grants.pop(report.ticket, None)
         withdrawn = self._line.remove(report.ticket) if granted is None else None
         if withdrawn is not None:
-            self._take_back(withdrawn)
+            self._take_back(withdrawn, now)
         target_id = granted.target_id if granted is not None else report.target_id
         state = self.pool.find(target_id)
         if state is not None:
@@ -194,7 +196,7 @@
             decision: messages.Decision | None = None
             least = LEAST_WORK * self._kinds.find_mean(ask.kind)
             if now + least >= ask.deadline_at:
-                self._take_back(one)
+                self._take_back(one, now)
                 decision = self._refuse(ask, messages.RefusalReason.TOO_LATE, now)
             elif has_free and (group not in without or ask.excluded):
                 decision = self._place(one, now)
@@ -315,14 +317,14 @@
             self._find_pressure(now),
         )
 
-    def _take_back(self, one: waiting.Waiting) -> None:
+    def _take_back(self, one: waiting.Waiting, now: float) -> None:
         """Give back the retry of a request that gets no target.
 
         Load pattern: targets turn work away, and more second attempts are asked for
         than may be sent. Those that are refused would use up what others may have.
         """
         if one.ask.attempt > 1:
-            self._retries.refund(one.arrived_at)
+            self._retries.refund(one.arrived_at, now)
 
     def _find_rank(self, ask: messages.Ask, now: float) -> int:
         """Return the rank of a request in the queue.
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -1,37 +1,57 @@
 """The retries that a service may get, as a share of its requests in a sliding time.
 
-The requests are those of the busiest of three spans: the present one, the one before
-it, and the one between them. After a burst retries are due that its requests earned.
+The bound holds for the service as a whole, over every span of time: a share of the
+requests of the busiest of three spans (that one, the one before it, and the one between
+them), and a fixed number beyond. A service may have several dispatchers, one after the
+other and side by side. Each counts what it is asked and what it gives out, and is told
+what the others have counted, so that counts outlive the VM that made them.
 """
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import dataclasses
+import itertools
+import math
 
 RESERVE = 0.5
 """Share of all retries from which on they become dearer: those left are for requests
 that fail by surprise, and not for finding out about targets."""
 
+PARTS = 100
+"""Parts of a span in which requests and retries are counted together."""
 
-PARTS = 25
-"""Parts of a span in which requests are counted together: a dispatcher counts for each
-decision, and would otherwise look at thousands of them."""
+HALF = PARTS // 2
+KEPT = 2 * PARTS
+"""Parts that are kept: retries of a span are allowed by requests of the one before."""
+
+RECENT = 16
+"""Latest parts that are told in short; others have heard the rest before."""
+
+LEAST_TOLD = 10
+"""Requests without any retry from which on a count is told. Leaving out fewer gives up
+the retries that they allow, and spares telling of each VM that once decided alone."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Part:
-    """Requests that came close together."""
+class Part:
+    """What was counted in a part of a span."""
+
+    number: int
+    """Its number, which only its counter gives a meaning."""
+
+    ago: float
+    """Seconds since its begin."""
 
-    start: float
-    """When the first came."""
+    requests: int
+    """Requests that were asked for."""
 
-    latest: float
-    """When the last came."""
+    retries: int
+    """Retries that were given out."""
 
-    count: int
-    """How many."""
+
+Count = tuple[str, tuple[Part, ...]]
+"""What a counter has counted, with the name of the counter."""
 
 
 class RetryWindow:
@@ -49,75 +69,238 @@
         Returns how many retries are allowed beyond that now.
     span : float
         Seconds that count.
+    counter : str, optional
+        Names what is counted here among all that count for the service.
+    read_is_alone : callable, optional
+        Returns whether this counter decides for its own VM only. It then keeps to what
+        it has counted itself: what others have counted allows retries that they may
+        give out as well.
     """
 
     def __init__(
-        self, ratio: float, read_slack: collections.abc.Callable[[], float], span: float
+        self,
+        ratio: float,
+        read_slack: collections.abc.Callable[[], float],
+        span: float,
+        counter: str = "",
+        read_is_alone: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._ratio = ratio
         self._read_slack = read_slack
+        self._read_is_alone = read_is_alone
         self._span = span
-        self._firsts: collections.deque[_Part] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
+        self._counter = counter
+        self._newest = 0
+        self._requests = [0] * KEPT
+        self._retries = [0] * KEPT
+        self._reserved = 0
+        self._others: dict[str, dict[int, tuple[float, Part]]] = {}
+        self._room: float | None = None
+        self._was_alone = False
+        self._spent = 0
+        self.untold = 0
+        """Retries that were given out since the others were told."""
+
+    @property
+    def has_heard(self) -> bool:
+        """Whether another counter has told what it counted."""
+        return bool(self._others)
 
-    def use(self, ratio: float, span: float) -> None:
-        """Use other bounds from now on."""
+    def use(self, ratio: float, span: float, now: float) -> None:
+        """Use other bounds from now on; what was counted is kept."""
+        if span != self._span:
+            own = self._list_parts(now, KEPT)
+            self._span = span
+            self._newest = self._find_part(now)
+            self._requests, self._retries = self._arrange(
+                [(now - part.ago, part) for part in own]
+            )
         self._ratio = ratio
-        self._span = span
+        self._room = None
 
-    def add_first(self, now: float) -> None:
+    def add_request(self, now: float) -> None:
         """Count a request."""
-        latest = self._firsts[-1] if self._firsts else None
-        if latest is None or now >= latest.start + self._span / PARTS:
-            self._firsts.append(_Part(now, now, 1))
-        else:
-            self._firsts[-1] = _Part(latest.start, now, latest.count + 1)
-
-    def refund(self, spent_at: float) -> None:
-        """Take back a retry that was spent then and not sent to any target."""
-        if spent_at in self._retries:
-            self._retries.remove(spent_at)
-
-    def spend(self, now: float) -> bool:
-        """Count a retry if there is room for it."""
+        self._move_to(now)
+        self._requests[-1] += 1
+
+    def reserve(self, now: float) -> bool:
+        """Hold a retry for a request that waits, if there is room for one."""
         if self.find_left(now) < 1.0:
             return False
-        self._retries.append(now)
+        self._reserved += 1
         return True
 
+    def release(self) -> None:
+        """Give back a retry that was held: its request gets no target."""
+        self._reserved -= 1
+
+    def spend(self, now: float) -> None:
+        """Count a retry that was held, since it is sent now."""
+        self._reserved -= 1
+        self.charge(now)
+
+    def charge(self, now: float) -> None:
+        """Count a retry that was sent without being held, whatever is left."""
+        self._move_to(now)
+        self._retries[-1] += 1
+        self._spent += 1
+        if self._room is not None:
+            self._room -= 1.0
+        self.untold += 1
+
+    def refund(self, spent_at: float, now: float) -> None:
+        """Take back a retry that was spent then and reached no target."""
+        self._move_to(now)
+        index = self._find_part(spent_at) - self._newest - 1
+        if index >= -KEPT and self._retries[index] > 0:
+            self._retries[index] -= 1
+            self._room = None
+
+    def tell(self, now: float, is_whole: bool) -> list[Count]:
+        """Return what was counted here lately, or all that is known of any counter."""
+        self._move_to(now)
+        self.untold = 0
+        if not is_whole:
+            return _choose([(self._counter, self._list_parts(now, RECENT))])
+        others = [
+            (counter, [dataclasses.replace(part, ago=now - at) for at, part in known])
+            for counter, parts in self._others.items()
+            if (known := parts.values())
+        ]
+        return _choose([(self._counter, self._list_parts(now, KEPT)), *others])
+
+    def take(self, count: Count, now: float) -> None:
+        """Take in what another counter has counted, from it or from one that knows.
+
+        Parts have the number that their counter gave them. Told again, or by another,
+        a part counts once, with the most that was told of it.
+        """
+        counter, parts = count
+        if counter == self._counter:
+            return
+        known = self._others.setdefault(counter, {})
+        for part in parts:
+            at, before = known.get(part.number, (now - part.ago, part))
+            requests = max(before.requests, part.requests)
+            retries = max(before.retries, part.retries)
+            most = Part(part.number, 0.0, requests, retries)
+            known[part.number] = (at, most)
+        self._room = None
+
     def find_ease(self, now: float) -> float:
         """Return how freely retries may be spent: 1 for freely, 0 for none left."""
         left = self.find_left(now)
         if left < 1.0:
             return 0.0
-        allowed = left + len(self._retries)
-        return min(1.0, left / (RESERVE * allowed))
+        return min(1.0, left / (RESERVE * (left + self._spent + self._reserved)))
 
     def find_left(self, now: float) -> float:
-        """Return how many retries there is room for."""
-        while self._retries and self._retries[0] <= now - self._span:
-            self._retries.popleft()
-        allowed = self._ratio * self._count_firsts(now) + self._read_slack()
-        return allowed - len(self._retries)
+        """Return how many retries there is room for.
+
+        Asked several times for each request, it adds up anew in each part only.
+        Requests of the latest part count from the next one on.
+        """
+        self._move_to(now)
+        is_alone = self._read_is_alone()
+        if self._room is None or self._was_alone is not is_alone:
+            self._was_alone = is_alone
+            requests, retries = self._add_up(now, is_alone)
+            self._spent = sum(retries[-PARTS:])
+            self._room = self._find_room(requests, retries)
+        return self._room + self._read_slack() - self._reserved
 
-    def _count_firsts(self, now: float) -> int:
-        """Return the requests of the busiest span.
+    def _find_room(self, requests: list[int], retries: list[int]) -> float:
+        """Return how many more retries the requests allow.
 
-        A part of a span that is cut by its end is left out, so that never too many
-        are counted.
+        Each span that began within the last one may hold them, and must keep to what
+        its requests allow by what is known now: after a burst, one that began in the
+        midst of it is allowed less than those before and after. A part in which a span
+        may begin or end counts with all its retries and none of its requests.
         """
-        span = self._span
-        while self._firsts and self._firsts[0].start <= now - 2 * span:
-            self._firsts.popleft()
-        return max(
-            self._count_between(now - span, now),
-            self._count_between(now - 1.5 * span, now - 0.5 * span),
-            self._count_between(now - 2 * span, now - span),
+        asked = list(itertools.accumulate(requests, initial=0))
+        spent = list(itertools.accumulate(retries, initial=0))
+        return min(
+            self._ratio
+            * max(
+                asked[part] - asked[part - PARTS + 1],
+                asked[min(part + HALF, KEPT)] - asked[part - HALF + 1],
+                asked[-1] - asked[part + 1],
+            )
+            - (spent[-1] - spent[part])
+            for part in range(PARTS - 1, KEPT)
         )
 
-    def _count_between(self, after: float, until: float) -> int:
-        return sum(
-            part.count
-            for part in self._firsts
-            if part.start > after and part.latest <= until
+    def _add_up(self, now: float, is_alone: bool) -> tuple[list[int], list[int]]:
+        """Return requests and retries by part, of all counters that matter here."""
+        if not self._others or is_alone:
+            return self._requests, self._retries
+        self._forget_old(now)
+        told = [one for parts in self._others.values() for one in parts.values()]
+        requests, retries = self._arrange(told)
+        return (
+            [own + other for own, other in zip(self._requests, requests, strict=True)],
+            [own + other for own, other in zip(self._retries, retries, strict=True)],
         )
+
+    def _forget_old(self, now: float) -> None:
+        """Forget what lies too far back to count."""
+        oldest = now - 2 * self._span
+        for counter, parts in list(self._others.items()):
+            recent = {number: one for number, one in parts.items() if one[0] > oldest}
+            if recent:
+                self._others[counter] = recent
+            else:
+                del self._others[counter]
+
+    def _arrange(
+        self, told: collections.abc.Iterable[tuple[float, Part]]
+    ) -> tuple[list[int], list[int]]:
+        """Return parts with their begin, added up in the parts that are kept here.
+
+        A part of another counter lies in two parts here. Its retries go to the later
+        one, and so count for each span that may hold them.
+        """
+        requests, retries = [0] * KEPT, [0] * KEPT
+        for at, part in told:
+            index = self._find_part(at) - self._newest + KEPT - 1
+            if 0 <= index < KEPT:
+                requests[index] += part.requests
+            if -1 <= index < KEPT:
+                retries[min(index + 1, KEPT - 1)] += part.retries
+        return requests, retries
+
+    def _list_parts(self, now: float, count: int) -> list[Part]:
+        """Return the latest parts in which anything was counted."""
+        length = self._span / PARTS
+        numbers = range(self._newest - count + 1, self._newest + 1)
+        return [
+            Part(number, now - number * length, requests, retries)
+            for number, requests, retries in zip(
+                numbers, self._requests[-count:], self._retries[-count:], strict=True
+            )
+            if requests or retries
+        ]
+
+    def _find_part(self, at: float) -> int:
+        return math.floor(at * PARTS / self._span)
+
+    def _move_to(self, now: float) -> None:
+        """Begin the parts that have come since the last use."""
+        passed = self._find_part(now) - self._newest
+        if passed <= 0:
+            return
+        self._newest += passed
+        self._room = None
+        passed = min(passed, KEPT)
+        self._requests = [*self._requests[passed:], *[0] * passed]
+        self._retries = [*self._retries[passed:], *[0] * passed]
+
+
+def _choose(counts: list[tuple[str, list[Part]]]) -> list[Count]:
+    """Return the counts that are worth telling."""
+    return [
+        (counter, tuple(parts))
+        for counter, parts in counts
+        if any(part.retries for part in parts)
+        or sum(part.requests for part in parts) >= LEAST_TOLD
+    ]
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import cbor2
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.dispatch import messages, retry_window, shards
 from zinniastand_core.quarantine import suspect
 
 from . import ports, suspect_codec
@@ -182,6 +183,17 @@
     """Fingerprint and record of each."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retries:
+    """What a VM knows of the requests and retries of a service."""
+
+    service: str
+    """The service."""
+
+    counts: tuple[retry_window.Count, ...]
+    """What it has counted, and what others have, each with the name of the counter."""
+
+
 MOST_NAMES = 256
 """Names of targets in one list of an ask; a VM leaves out fewer."""
 
@@ -199,6 +211,7 @@
     | Asked
     | Adopted
     | Suspects
+    | Retries
     | messages.Grant
     | messages.Refuse
     | messages.Wait
@@ -268,6 +281,12 @@
             return ["k", message.vm, held.target_id, *_pack_ask(held.ask, now)]
         case Suspects():
             return ["s", suspect_codec.pack(message.items, now)]
+        case Retries():
+            counts = [
+                [counter, [list(dataclasses.astuple(part)) for part in parts]]
+                for counter, parts in message.counts
+            ]
+            return ["t", message.service, counts]
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
@@ -306,6 +325,9 @@
             return Asked(rest[0], _unpack_ask(rest[1:], now))
         case "s":
             return Suspects(suspect_codec.unpack(rest[0], now))
+        case "t":
+            counts = tuple((str(name), _unpack_parts(told)) for name, told in rest[1])
+            return Retries(str(rest[0]), counts)
         case "g":
             return messages.Grant(*rest)
         case "r":
@@ -331,6 +353,21 @@
     return [*fields, opinion.rate_limit, opinion.due_in, opinion.named_ago]
 
 
+def _unpack_parts(value: object) -> tuple[retry_window.Part, ...]:
+    """Return what was counted; counts below zero would allow retries."""
+    if not isinstance(value, list) or len(value) > retry_window.KEPT:
+        raise UnreadableError("no list of counts")
+    parts: list[retry_window.Part] = []
+    for number, ago, requests, retries in value:
+        counts = (number, requests, retries)
+        if not all(type(one) is int and one >= 0 for one in counts):
+            raise UnreadableError("counts that are none")
+        if not 0.0 <= ago < math.inf:
+            raise UnreadableError("a time that is none")
+        parts.append(retry_window.Part(number, float(ago), requests, retries))
+    return tuple(parts)
+
+
 def _unpack_report(fields: list) -> messages.Report:
     ticket, target_id, outcome, took, vm, *told = fields[4:]
     shard = shards.Shard(*fields[:4])
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -251,6 +251,7 @@
         self._talk = fleet_talk.FleetTalk(
             self._fleet, self._link, hearers, self._log, self._note_fault
         )
+        self._desk.use_announcer(self._talk.tell_retries)
         self._client = target_client.TargetClient(self._words)
         self._suspension = suspension.SuspensionWatch(self._take_suspension)
         tools = forwarder.Tools(
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -41,6 +41,10 @@
 HELPERS = 3
 """VMs that tell one that starts which requests crash targets."""
 
+COUNTING = 3
+"""VMs by rank for each shard that hear of the retries of its service: who dispatches
+it, and who would next."""
+
 GREET_PAUSE = 1.0
 """Seconds between greetings of VMs that gave no answer."""
 
@@ -127,6 +131,8 @@
                 self._hearers.desk.ask(message.vm, message.ask, now)
             case datagrams.Adopted():
                 self._hearers.desk.adopt(message.vm, message.held, now)
+            case datagrams.Retries():
+                self._hearers.desk.take_retries(message, now)
             case datagrams.Suspects():
                 self._hearers.suspects.take(message)
             case messages.Report():
@@ -180,6 +186,27 @@
                 self._hearers.desk.summarize(shard, now),
                 [member for member in successors if member is not None],
             )
+        for service in self._hearers.desk.list_services():
+            self.tell_retries(service, is_whole=to_all)
+
+    def tell_retries(self, service: str, is_whole: bool = False) -> None:
+        """Tell all who dispatch a service, or would next, what was counted here.
+
+        The retries of a service are bounded as a whole. A dispatcher that does not know
+        what others have given out would give it out once more.
+        """
+        now = anyio.current_time()
+        desk, fleet = self._hearers.desk, self._fleet
+        names = {
+            vm
+            for shard in desk.list_shards(service)
+            for vm in fleet.rank_heard(shard.task, now, shard.data_centre)[:COUNTING]
+        }
+        names.discard(fleet.own.vm)
+        hearers = [fleet.find(vm) for vm in sorted(names)]
+        told = desk.count_retries(service, now, is_whole)
+        if told.counts:
+            self._link.send_many(told, [one for one in hearers if one is not None])
 
     async def greet(self) -> None:
         """Greet VMs that gave no answer, until cancelled."""
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
+import cbor2
 import hypothesis
 import hypothesis.strategies as st
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages, shards
+from zinniastand_core.dispatch import messages, retry_window, shards
 from zinniastand_core.quarantine import suspect
 from zinniastand_proxy.edge import datagrams, ports
 
@@ -40,6 +43,7 @@
             ("ffff2233aabbccdd", suspect.Suspect(answered_at=-2.0)),
         )
     ),
+    datagrams.Retries("desk", (("vm-1:7:0", (retry_window.Part(40, 0.3, 12, 2),)),)),
     messages.Grant("vm:1:2", "t1", 0.1, 0.2),
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
@@ -68,3 +72,26 @@
 def test_bytes_that_are_no_message_are_refused(data: bytes) -> None:
     with pytest.raises(datagrams.UnreadableError):
         datagrams.decode(data, 0.0)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        [1, 0.5, -1, 0],
+        [1, 0.5, 1, -3],
+        [1, -0.5, 1, 0],
+        [1, math.inf, 1, 0],
+        [1, math.nan, 1, 0],
+        [1, 0.5, 1.5, 0],
+        [1, 0.5, True, 0],
+        [1, "x", 1, 0],
+        [1, 0.5, 1],
+    ],
+    ids=str,
+)
+def test_counts_that_would_allow_retries_by_mistake_are_refused(
+    part: list[object],
+) -> None:
+    data = cbor2.dumps(["t", "desk", [["vm-1:7:0", [part]]]])
+    with pytest.raises(datagrams.UnreadableError):
+        datagrams.decode(data, 0.0)
