--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -64,6 +64,12 @@
     target_id: str
     started_at: float
     expected: float
+    is_retry: bool
+    """Whether a retry was spent on it here."""
+
+
+UNSENT = frozenset({messages.Outcome.UNUSED, messages.Outcome.UNREACHABLE})
+"""Outcomes of attempts that reached no target."""
 
 
 class Dispatcher:
@@ -127,13 +133,11 @@
             return [messages.Wait(ask.ticket)]
         if self.pool.is_empty():
             return [self._refuse(ask, messages.RefusalReason.NO_TARGET, now)]
-        if ask.attempt > 1:
-            if not self._retries.reserve(now):
-                return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
-            self._retries.spend(now)
+        if ask.attempt > 1 and not self._retries.reserve(now):
+            return [self._refuse(ask, messages.RefusalReason.RETRY_BUDGET, now)]
         entry = waiting.Waiting(self._find_rank(ask, now), now, ask.ticket, ask)
         if not self._line.enter(entry, now):
-            self._take_back(entry, now)
+            self._take_back(entry)
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
         if ask.attempt == 1:
             # One that is refused here may be placed, and counted, in another shard.
@@ -151,7 +155,9 @@
         granted = self._grants.pop(report.ticket, None)
         withdrawn = self._line.remove(report.ticket) if granted is None else None
         if withdrawn is not None:
-            self._take_back(withdrawn, now)
+            self._take_back(withdrawn)
+        if granted is not None and granted.is_retry and report.outcome in UNSENT:
+            self._retries.refund(granted.started_at, now)
         target_id = granted.target_id if granted is not None else report.target_id
         state = self.pool.find(target_id)
         if state is not None:
@@ -164,7 +170,7 @@
         """Take over a slot that another dispatcher gave."""
         state = self.pool.find(held.target_id)
         if state is not None and held.ask.ticket not in self._grants:
-            self._start(held.ask, state, now)
+            self._start(held.ask, state, now, is_retry=False)
 
     def wake(self, now: float) -> list[messages.Decision]:
         """Act on the time: notice slow targets, take lost slots back, end waits."""
@@ -196,7 +202,7 @@
             decision: messages.Decision | None = None
             least = LEAST_WORK * self._kinds.find_mean(ask.kind)
             if now + least >= ask.deadline_at:
-                self._take_back(one, now)
+                self._take_back(one)
                 decision = self._refuse(ask, messages.RefusalReason.TOO_LATE, now)
             elif has_free and (group not in without or ask.excluded):
                 decision = self._place(one, now)
@@ -219,7 +225,9 @@
             return None
         if ask.may_retry and offer.doubt > 0:
             state.note_trial(now)
-        granted = self._start(ask, state, now)
+        granted = self._start(ask, state, now, is_retry=ask.attempt > 1)
+        if granted.is_retry:
+            self._retries.spend(now)
         if state.limit is not None:
             state.limit.take(self._read_share(), now)
         return messages.Grant(
@@ -237,10 +245,16 @@
             return 1.0 if ease > 0.0 else 0.0
         return ease
 
-    def _start(self, ask: messages.Ask, state: pool.TargetState, now: float) -> _Grant:
+    def _start(
+        self,
+        ask: messages.Ask,
+        state: pool.TargetState,
+        now: float,
+        is_retry: bool,
+    ) -> _Grant:
         expected = self._kinds.find_mean(ask.kind) * state.find_slowness(now)
         state.note_granted(ask.ticket, now)
-        granted = _Grant(ask, state.entry.target_id, now, expected)
+        granted = _Grant(ask, state.entry.target_id, now, expected, is_retry)
         self._grants[ask.ticket] = granted
         return granted
 
@@ -267,7 +281,7 @@
                 state.note_unreachable(report.vm, now)
             case messages.Outcome.MISPLACED:
                 state.note_misplaced(now)
-            case messages.Outcome.ABANDONED:
+            case messages.Outcome.ABANDONED | messages.Outcome.UNUSED:
                 pass
 
     def _learn_limit(
@@ -317,14 +331,14 @@
             self._find_pressure(now),
         )
 
-    def _take_back(self, one: waiting.Waiting, now: float) -> None:
+    def _take_back(self, one: waiting.Waiting) -> None:
         """Give back the retry of a request that gets no target.
 
         Load pattern: targets turn work away, and more second attempts are asked for
         than may be sent. Those that are refused would use up what others may have.
         """
         if one.ask.attempt > 1:
-            self._retries.refund(one.arrived_at, now)
+            self._retries.release()
 
     def _find_rank(self, ask: messages.Ask, now: float) -> int:
         """Return the rank of a request in the queue.
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -136,7 +136,10 @@
     """Another target has this address by now."""
 
     ABANDONED = "abandoned"
-    """Nothing can be told: the caller left, or nothing was sent."""
+    """Nothing can be told: the caller left, or another target answered."""
+
+    UNUSED = "unused"
+    """Nothing was sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -67,7 +67,7 @@
     """The service that it goes to."""
 
 
-UNUSED = Ended(messages.Outcome.ABANDONED, "", 0.0)
+UNUSED = Ended(messages.Outcome.UNUSED, "", 0.0)
 """A slot was given and nothing was sent."""
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -278,7 +278,7 @@
             ask.ticket,
             ask.shard,
             "",
-            messages.Outcome.ABANDONED,
+            messages.Outcome.UNUSED,
             0.0,
             self._fleet.own.vm,
         )
