--- a/bench/retry_fleet.py
+++ b/bench/retry_fleet.py
@@ -371,6 +371,7 @@
         self._sent: list[float] = []
         self._arrivals: list[tuple[float, str]] = []
         self._served = 0
+        self._desks: list[desk.Desk] = []
         self._refused: collections.Counter[str] = collections.Counter()
         self.registry = targets.Registry()
         self.registry.replace(self._make_entries(), 1, 0.0)
@@ -390,6 +391,10 @@
         asked = len(self._sent)
         return Result(worst, asked, self._served, len(retries), self._refused)
 
+    def count_requests(self) -> int:
+        """Return how many requests all dispatchers together have counted lately."""
+        return sum(one.count_requests(SERVICE) for one in self._desks)
+
     def carry(self, message: datagrams.Message, member: ports.Member) -> None:
         """Deliver a datagram to whichever start of a VM runs by then."""
 
@@ -487,6 +492,7 @@
 
     def _start(self, name: str, place: str, born: int) -> Vm:
         vm = self._vms[name] = Vm(self, name, place, born)
+        self._desks.append(vm.desk)
         self._group.start_soon(vm.run)
         return vm
 
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -126,6 +126,9 @@
 
     def ask(self, ask: messages.Ask, now: float) -> list[messages.Decision]:
         """Take in a request; an ask that came before gets its first answer again."""
+        if ask.is_first:
+            # Also one that is refused: it is a request for the service all the same.
+            self._retries.add_request(now)
         granted = self._grants.get(ask.ticket)
         if granted is not None:
             return [self._repeat(granted, now)]
@@ -139,9 +142,6 @@
         if not self._line.enter(entry, now):
             self._take_back(entry)
             return [self._refuse(ask, messages.RefusalReason.OVERLOADED, now)]
-        if ask.attempt == 1:
-            # One that is refused here may be placed, and counted, in another shard.
-            self._retries.add_request(now)
         decisions = self._serve_queue(now)
         if any(one.ticket == ask.ticket for one in decisions):
             return decisions
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -46,6 +46,10 @@
     open_to: tuple[str, ...] = ()
     """Targets to which the VM has an idle connection that may carry the work."""
 
+    is_first: bool = True
+    """Whether no dispatcher was asked for this request before. Only then does it earn
+    retries: another dispatcher may have counted it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -100,6 +100,10 @@
         self._spent = 0
         self.untold = 0
         """Retries that were given out since the others were told."""
+        self.requests = 0
+        """Requests that were counted here."""
+        self.retries = 0
+        """Retries that were given out here, without those that were given back."""
 
     @property
     def has_heard(self) -> bool:
@@ -122,6 +126,7 @@
         """Count a request."""
         self._move_to(now)
         self._requests[-1] += 1
+        self.requests += 1
 
     def reserve(self, now: float) -> bool:
         """Hold a retry for a request that waits, if there is room for one."""
@@ -147,6 +152,7 @@
         if self._room is not None:
             self._room -= 1.0
         self.untold += 1
+        self.retries += 1
 
     def refund(self, spent_at: float, now: float) -> None:
         """Take back a retry that was spent then and reached no target."""
@@ -154,6 +160,7 @@
         index = self._find_part(spent_at) - self._newest - 1
         if index >= -KEPT and self._retries[index] > 0:
             self._retries[index] -= 1
+            self.retries -= 1
             self._room = None
 
     def tell(self, now: float, is_whole: bool) -> list[Count]:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -393,12 +393,13 @@
         ask.data_centre,
         list(ask.excluded),
         list(ask.open_to),
+        ask.is_first,
     ]
 
 
 def _unpack_ask(fields: list, now: float) -> messages.Ask:
     ticket, kind, may_retry, priority, objective, deadline = fields[4:10]
-    attempt, data_centre, excluded, open_to = fields[10:]
+    attempt, data_centre, excluded, open_to, is_first = fields[10:]
     return messages.Ask(
         ticket,
         shards.Shard(*fields[:4]),
@@ -411,6 +412,7 @@
         data_centre,
         _unpack_names(excluded),
         _unpack_names(open_to),
+        is_first is True,
     )
 
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -236,6 +236,11 @@
         if known is not None:
             self._tell_heard(known, shard, now)
 
+    def count_requests(self, service: str) -> int:
+        """Return the requests of a service that were counted here."""
+        window = self._windows.get(service)
+        return window.requests if window is not None else 0
+
     def count_retries(
         self, service: str, now: float, is_whole: bool
     ) -> datagrams.Retries:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -123,6 +123,7 @@
             if shard is None:
                 break
             answer = await self._acquire_in(dataclasses.replace(ask, shard=shard))
+            ask = dataclasses.replace(ask, is_first=False)
             self._chooser.note(shard, answer.pressure, anyio.current_time())
             if isinstance(answer, messages.Grant) or answer.reason not in ELSEWHERE:
                 break
@@ -140,6 +141,7 @@
                 if answer is not None:
                     return self._take(ask, vm, answer)
                 vm = self._move_on(vm, ask, silent)
+                ask = dataclasses.replace(ask, is_first=False)
             return _refuse_late(ask)
         finally:
             del self._pending[ask.ticket]
@@ -211,6 +213,7 @@
             # Before sending: this VM's own dispatcher answers at once.
             pending.is_heard = False
             self._send_ask(vm, ask, now)
+            ask = dataclasses.replace(ask, is_first=False)
             await self._wait(pending, min(now + pause, ask.deadline_at))
             if pending.answer is not None:
                 return self._judge(pending, vm, ask)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_messages.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_messages.py
@@ -38,6 +38,7 @@
         data_centre=parts.data_centre,
         excluded=tuple(sorted({*request_plan.excluded, *unreachable})),
         open_to=tuple(_list_open(parts, route, service, now)),
+        is_first=request_plan.attempts == 0,
     )
 
 
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -54,6 +54,7 @@
         deadline_at=now + 1.2,
         attempt=1,
         data_centre="a",
+        is_first=changes.get("attempt", 1) == 1,
     )
     return dataclasses.replace(ask, **changes)  # type: ignore[arg-type]
 
--- a/tests/dispatch/test_retries_sent.py
+++ b/tests/dispatch/test_retries_sent.py
@@ -20,7 +20,7 @@
 ENTRY = targets.Entry(
     "a", "desk", "127.0.0.1", 80, "a", 1, targets.Phase.READY, 1, 0.0, 1
 )
-RETRY = messages.Ask("r", SHARD, "write", False, 1, 15.0, 30.0, 2, "a")
+RETRY = messages.Ask("r", SHARD, "write", False, 1, 15.0, 30.0, 2, "a", is_first=False)
 
 
 def make_dispatcher(
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -15,7 +15,9 @@
 
 pytestmark = pytest.mark.anyio
 
-ASK = messages.Ask("t", shards.Shard("desk"), "r", True, 1, 0.0, 0.0, 2, "a")
+ASK = messages.Ask(
+    "t", shards.Shard("desk"), "r", True, 1, 0.0, 0.0, 2, "a", is_first=False
+)
 
 
 def make_desk(vms: int, count: int = 1) -> tuple[desk.Desk, list[messages.Decision]]:
--- /dev/null
+++ b/tests/edge/test_earned_retries.py
@@ -0,0 +1,73 @@
+"""A request earns retries once, whoever is asked for its targets."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+import scripted_run
+
+from bench import retry_fleet
+from zinniastand_core.dispatch import messages
+from zinniastand_core.forwarding import plan
+
+Result = plan.Result
+
+
+class CountingSlots(scripted_run.ScriptedSlots):
+    """Keeps what was asked."""
+
+    def __init__(self, names: list[str]) -> None:
+        super().__init__(names)
+        self.asked: list[messages.Ask] = []
+
+    async def acquire(self, ask: messages.Ask) -> messages.Grant | messages.Refuse:
+        """Return the next target."""
+        self.asked.append(ask)
+        return await super().acquire(ask)
+
+
+def test_request_whose_target_is_unreachable_earns_nothing_again() -> None:
+    # Guards against requests that earn retries at each target that is not there.
+    results = [Result.UNREACHABLE, Result.UNREACHABLE, Result.ANSWERED]
+    scripts = {
+        f"t{n}": scripted_run.Script(result, 0.01) for n, result in enumerate(results)
+    }
+    slots = CountingSlots(list(scripts))
+    exchange = scripted_run.ScriptedTargets(scripts)
+
+    async def main() -> None:
+        await scripted_run.run_once(slots, exchange, list(scripts))
+
+    scripted_run.run_virtually(main)
+    assert [ask.attempt for ask in slots.asked] == [1, 1, 1]
+    assert [ask.is_first for ask in slots.asked] == [True, False, False]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"lag": retry_fleet.Spell(0.0, 20.0, 0.3), "slow": 0.15},
+        {"unreachable": retry_fleet.Spell(2.0, 9.0, 0.5)},
+        {"kills": (retry_fleet.Kill(3.0, 0.2), retry_fleet.Kill(6.0, 0.2))},
+        {"vms": 45, "count": 60, "rate": 300.0},
+    ],
+    ids=["late answers", "unreachable targets", "kills", "shards"],
+)
+def test_no_more_requests_are_counted_than_callers_sent(
+    changes: dict[str, object],
+) -> None:
+    # Guards against retries that one request earns at several dispatchers.
+    load = dataclasses.replace(retry_fleet.Load(seconds=10.0), **changes)  # type: ignore[arg-type]
+    fleet = retry_fleet.Fleet(load, 1)
+    result = fleet.play()
+    assert 0.9 * result.asked < fleet.count_requests() <= result.asked
+
+
+def test_request_that_is_refused_has_earned_its_share() -> None:
+    # Guards against an overload in which refused requests allow no retries.
+    load = retry_fleet.Load(seconds=8.0, rate=700.0)
+    fleet = retry_fleet.Fleet(load, 1)
+    result = fleet.play()
+    assert result.refused["overloaded"] > 0.3 * result.asked
+    assert fleet.count_requests() > 0.9 * result.asked
