--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -158,6 +158,8 @@
             self._take_back(withdrawn)
         if granted is not None and granted.is_retry and report.outcome in UNSENT:
             self._retries.refund(granted.started_at, now)
+        if report.is_resent and granted is not None:
+            self._retries.charge(now)
         target_id = granted.target_id if granted is not None else report.target_id
         state = self.pool.find(target_id)
         if state is not None:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/messages.py
@@ -172,6 +172,9 @@
     """Requests a second that the target takes, infinite where its answer names none;
     None where no answer tells."""
 
+    is_resent: bool = False
+    """Whether it was sent twice, since a kept connection broke under it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Held:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -52,6 +52,9 @@
     rate_limit: float | None = None
     """Requests a second that the target takes; None where nothing tells."""
 
+    is_resent: bool = False
+    """Whether it was sent once more, since a kept connection broke under it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
@@ -83,6 +86,7 @@
             ended.took,
             parts.vm,
             ended.rate_limit,
+            ended.is_resent,
         )
     )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -197,7 +197,15 @@
 MOST_NAMES = 256
 """Names of targets in one list of an ask; a VM leaves out fewer."""
 
-REPORT_FIELDS = ("ticket", "target_id", "outcome", "took", "vm", "rate_limit")
+REPORT_FIELDS = (
+    "ticket",
+    "target_id",
+    "outcome",
+    "took",
+    "vm",
+    "rate_limit",
+    "is_resent",
+)
 """Fields of a report as they follow its shard."""
 
 Message = (
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -239,12 +239,12 @@
         """Send to one target; take in, report and note how that ended."""
         started = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
-        has_crashed, rate_limit = False, None
+        has_crashed, is_resent, rate_limit = False, False, None
         self._parts.suspects.begin(self._fingerprint, started)
         try:
             attempt = await self._send(target, started)
             outcome, why = attempt_ends.OUTCOMES[attempt.result], attempt.detail
-            rate_limit = attempt.rate_limit
+            is_resent, rate_limit = attempt.is_resent, attempt.rate_limit
             broke_at = anyio.current_time()
             has_crashed = attempt.is_cut and await self._parts.is_down(target, broke_at)
             if has_crashed:
@@ -257,7 +257,7 @@
                 self._plan.break_off()
                 outcome, why = self._name_breaking_off(now, overdue_at)
             ended = attempt_ends.Ended(
-                outcome, why, now - started, has_crashed, rate_limit
+                outcome, why, now - started, has_crashed, rate_limit, is_resent
             )
             attempt_ends.report(self._parts, place, ended)
             attempt_ends.note(self._parts, self._asked, place, ended)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -93,6 +93,9 @@
     is_cut: bool = False
     """Whether the connection ended before the answer was whole."""
 
+    is_resent: bool = False
+    """Whether it was sent once more, since a kept connection broke under it."""
+
     @property
     def is_success(self) -> bool:
         """Whether the target ran the request to a good end."""
@@ -204,8 +207,8 @@
         attempt = await self._exchange(target, connection, request)
         if attempt.result in plan.PROVED_NOT_RUN:
             detail = f"{first.detail}, then {attempt.detail}"
-            return Attempt(plan.Result.BROKEN, None, detail)
-        return attempt
+            return Attempt(plan.Result.BROKEN, None, detail, is_resent=True)
+        return dataclasses.replace(attempt, is_resent=True)
 
     def list_open(self, work: services.Work, now: float) -> list[str]:
         """Return the targets to which an idle connection may carry work."""
--- a/tests/dispatch/test_retries_sent.py
+++ b/tests/dispatch/test_retries_sent.py
@@ -94,3 +94,12 @@
     one.ask(RETRY, 0.1)
     report(one, "r", messages.Outcome.UNUSED, 0.2)
     assert window.find_left(0.2) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_sending_on_a_second_connection_counts_as_a_retry(attempt: int) -> None:
+    # Guards against arrivals that no dispatcher was asked for.
+    one, window = make_dispatcher(retries=4.0)
+    one.ask(dataclasses.replace(RETRY, attempt=attempt), 0.0)
+    report(one, "r", messages.Outcome.GOOD, 0.2, is_resent=True)
+    assert window.find_left(0.2) == pytest.approx(4.0 - attempt)
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -348,8 +348,10 @@
     async with run_target(script) as target:
         client = target_client.TargetClient(words.HEADERS)
         work = services.Work.IDEMPOTENT
-        await attempt(target, client, work)
-        assert (await attempt(target, client, work)).result is plan.Result.ANSWERED
+        first = await attempt(target, client, work)
+        second = await attempt(target, client, work)
+    assert second.result is plan.Result.ANSWERED
+    assert (first.is_resent, second.is_resent) == (False, True)
 
 
 @pytest.mark.parametrize("status", [b"503", b"421"])
@@ -376,6 +378,7 @@
         found = await attempt(target, client, work)
     assert connections == 2
     assert found.result is plan.Result.BROKEN
+    assert found.is_resent
     assert "then" in found.detail
 
 
