--- a/bench/retry_fleet.py
+++ b/bench/retry_fleet.py
@@ -41,6 +41,7 @@
     ports,
     request_notes,
     request_run,
+    retry_counts,
     run_parts,
     suspect_exchange,
     target_client,
@@ -279,7 +280,7 @@
         self.desk = desk.Desk(
             self.members,
             fleet.registry,
-            desk.RetryBudget(bound.ratio, bound.slack, bound.span),
+            retry_counts.RetryBudget(bound.ratio, bound.slack, bound.span),
             rng,
             self._deliver,
         )
@@ -293,7 +294,7 @@
             typing.cast(suspect_exchange.SuspectExchange, _Unsuspected()),
         )
         self.talk = fleet_talk.FleetTalk(self.members, link, hearers, log, _fail)
-        self.desk.use_announcer(self.talk.tell_retries)
+        self.desk.retries.use_announcer(self.talk.tell_retries)
         self._link = link
         numbers = itertools.count()
         self.parts = run_parts.Parts(
@@ -393,7 +394,7 @@
 
     def count_requests(self) -> int:
         """Return how many requests all dispatchers together have counted lately."""
-        return sum(one.count_requests(SERVICE) for one in self._desks)
+        return sum(one.retries.count_requests(SERVICE) for one in self._desks)
 
     def carry(self, message: datagrams.Message, member: ports.Member) -> None:
         """Deliver a datagram to whichever start of a VM runs by then."""
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -104,6 +104,10 @@
         """Requests that were counted here."""
         self.retries = 0
         """Retries that were given out here, without those that were given back."""
+        self.resent = 0
+        """Of these, the ones that were sent without being held."""
+        self.returned = 0
+        """Retries that were given back."""
 
     @property
     def has_heard(self) -> bool:
@@ -142,10 +146,14 @@
     def spend(self, now: float) -> None:
         """Count a retry that was held, since it is sent now."""
         self._reserved -= 1
-        self.charge(now)
+        self._count_retry(now)
 
     def charge(self, now: float) -> None:
         """Count a retry that was sent without being held, whatever is left."""
+        self.resent += 1
+        self._count_retry(now)
+
+    def _count_retry(self, now: float) -> None:
         self._move_to(now)
         self._retries[-1] += 1
         self._spent += 1
@@ -161,6 +169,7 @@
         if index >= -KEPT and self._retries[index] > 0:
             self._retries[index] -= 1
             self.retries -= 1
+            self.returned += 1
             self._room = None
 
     def tell(self, now: float, is_whole: bool) -> list[Count]:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -9,7 +9,6 @@
 import collections
 import collections.abc
 import dataclasses
-import itertools
 import random
 
 import anyio
@@ -20,33 +19,18 @@
     messages,
     pool,
     rate_limit,
-    retry_window,
     shards,
     work_times,
 )
 
-from . import datagrams, members, named_limits
+from . import datagrams, members, named_limits, retry_counts
 
 Deliver = collections.abc.Callable[[str, messages.Decision], None]
-Announce = collections.abc.Callable[[str], None]
-
-SHARE_OF_SLACK = 0.65
-"""Share of the slack of retries that the dispatchers of a service give out. What is
-left is for what they have not told each other yet, and for retries that take long to
-arrive."""
-
-FIRST_SHARE = 0.25
-"""The same for one that has not counted for a whole window and was not told what others
-have: the one before it may have given out its own share just now."""
 
 ALONE_AFTER = 10.0
 """Seconds after the last ask of another VM from which a dispatcher counts as one that
 decides for its own VM alone."""
 
-MOST_UNTOLD = 0.1
-"""Share of the slack of retries that is given out until the other dispatchers are told
-at once: so much of what one has given out is unknown to the next at most."""
-
 KEEP_IDLE = 30.0
 """Seconds after which a dispatcher that nobody asks is dropped: longer than retries are
 counted, so that dropping one gives no new ones."""
@@ -59,20 +43,6 @@
 """Seconds after which the asker of a ticket is forgotten; longer than any deadline."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryBudget:
-    """The retries that a service may get."""
-
-    ratio: float
-    """Retries per request."""
-
-    slack: float
-    """Retries beyond that."""
-
-    window: float
-    """Seconds over which both are counted."""
-
-
 class Desk:
     """Dispatchers of all shards that were asked about here.
 
@@ -82,7 +52,7 @@
         The VMs.
     registry : targets.Registry
         Targets known.
-    budget : RetryBudget
+    budget : retry_counts.RetryBudget
         Retries allowed.
     rng : random.Random
         Spreads returns of refused callers.
@@ -94,22 +64,17 @@
         self,
         fleet: members.Members,
         registry: targets.Registry,
-        budget: RetryBudget,
+        budget: retry_counts.RetryBudget,
         rng: random.Random,
         deliver: Deliver,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
-        self._budget = budget
+        self.retries = retry_counts.RetryCounts(fleet, budget, self._is_alone)
         self._rng = rng
         self._deliver = deliver
         self._dispatchers: dict[shards.Shard, dispatcher.Dispatcher] = {}
-        self._windows: dict[str, retry_window.RetryWindow] = {}
         self._used_at: dict[shards.Shard, float] = {}
-        self._counting_since: dict[str, float] = {}
-        self._counters = itertools.count()
-        self._counter = self._name_counter()
-        self._announce: Announce = _announce_nothing
         self._times: dict[str, work_times.KindTimes] = {}
         self._askers: dict[str, tuple[str, float]] = {}
         self._alone_at: dict[shards.Shard, float] = {}
@@ -117,10 +82,6 @@
         self._heard: dict[str, tuple[datagrams.Opinion, float]] = {}
         self._divisions: dict[str, tuple[shards.Shard, ...]] = {}
 
-    def use_announcer(self, announce: Announce) -> None:
-        """Call this with a service of whose retries other dispatchers shall hear."""
-        self._announce = announce
-
     def list_services(self) -> list[str]:
         """Return the services that a dispatcher here counts for."""
         return sorted({shard.service for shard in self._dispatchers})
@@ -144,13 +105,6 @@
         """Return whether any target of a shard may get work, as far as known."""
         return bool(self._list_targets(shard, now))
 
-    def use_budget(self, budget: RetryBudget) -> None:
-        """Give out retries by this budget from now on."""
-        self._budget = budget
-        now = anyio.current_time()
-        for window in self._windows.values():
-            window.use(budget.ratio, budget.window, now)
-
     def ask(self, vm: str, ask: messages.Ask, now: float) -> None:
         """Take in an ask of a VM; decisions go out through `deliver`."""
         self._askers[ask.ticket] = (vm, now + KEEP_ASKER)
@@ -161,13 +115,13 @@
                 _use_whole_limits(known, now)
             self._alone_at[ask.shard] = now + ALONE_AFTER
         self._send(known.ask(ask, now))
-        self._announce_untold(ask.shard.service)
+        self.retries.announce_untold(ask.shard.service)
 
     def report(self, report: messages.Report, now: float) -> None:
         """Take in how an attempt went."""
         self._askers.pop(report.ticket, None)
         self._send(self._open(report.shard, now).report(report, now))
-        self._announce_untold(report.shard.service)
+        self.retries.announce_untold(report.shard.service)
 
     def adopt(self, vm: str, held: messages.Held, now: float) -> None:
         """Take over a slot that another dispatcher gave to a VM."""
@@ -184,6 +138,7 @@
             for service, entries in by_service.items()
         }
         self._limits.forget_gone(now)
+        self.retries.forget_gone({*self._divisions, *self.list_services()})
         for shard, known in self._dispatchers.items():
             self._send(known.update_targets(self._list_targets(shard, now), now))
 
@@ -193,8 +148,7 @@
         After a suspension other VMs have long placed these requests.
         """
         self._dispatchers.clear()
-        self._windows.clear()
-        self._counter = self._name_counter()
+        self.retries.forget()
         self._askers.clear()
         self._heard.clear()
 
@@ -236,24 +190,10 @@
         if known is not None:
             self._tell_heard(known, shard, now)
 
-    def count_requests(self, service: str) -> int:
-        """Return the requests of a service that were counted here."""
-        window = self._windows.get(service)
-        return window.requests if window is not None else 0
-
-    def count_retries(
-        self, service: str, now: float, is_whole: bool
-    ) -> datagrams.Retries:
-        """Return what was counted here lately of a service, or all that is known."""
-        counts = self._open_window(service, now).tell(now, is_whole)
-        return datagrams.Retries(service, tuple(counts))
-
     def take_retries(self, told: datagrams.Retries, now: float) -> None:
         """Take in what another VM has counted of a service that is known."""
         if told.service in self._divisions:
-            window = self._open_window(told.service, now)
-            for count in told.counts:
-                window.take(count, now)
+            self.retries.take(told, now)
 
     def note_limit(self, target_id: str, rate: float, now: float) -> None:
         """Take in which limit an answer to this VM has named, infinite for none."""
@@ -299,7 +239,7 @@
         known = self._dispatchers.get(shard)
         if known is None:
             times = self._times.setdefault(shard.service, work_times.KindTimes())
-            window = self._open_window(shard.service, now)
+            window = self.retries.open(shard.service, now)
             known = dispatcher.Dispatcher(
                 times,
                 window,
@@ -312,30 +252,6 @@
             self._tell_heard(known, shard, now)
         return known
 
-    def _open_window(self, service: str, now: float) -> retry_window.RetryWindow:
-        """Return the counts of a service: those of all its shards together."""
-        window = self._windows.get(service)
-        if window is None:
-            window = self._windows[service] = retry_window.RetryWindow(
-                self._budget.ratio,
-                lambda: self._find_slack(service),
-                self._budget.window,
-                self._counter,
-                lambda: self._is_alone(service),
-            )
-            self._counting_since[service] = now
-        return window
-
-    def _name_counter(self) -> str:
-        """Return a name for what is counted here from now on."""
-        own = self._fleet.own
-        return f"{own.vm}:{own.incarnation}:{next(self._counters)}"
-
-    def _announce_untold(self, service: str) -> None:
-        untold = self._windows[service].untold
-        if untold and untold >= MOST_UNTOLD * self._budget.slack:
-            self._announce(service)
-
     def _list_targets(self, shard: shards.Shard, now: float) -> list[targets.Entry]:
         usable = self._registry.list_usable(shard.service, now)
         return [entry for entry in usable if shard.covers(entry)]
@@ -355,20 +271,6 @@
             if heard is not None:
                 state.set_opinion(heard[0].failing, heard[0].slowness, heard[1])
 
-    def _find_slack(self, service: str) -> float:
-        """Return the retries that the dispatchers may give out beyond the share.
-
-        VMs that reach no common dispatcher each decide alone. With the whole slack
-        for each, a fleet of them would go beyond it many times over.
-        """
-        now = anyio.current_time()
-        is_new = now - self._counting_since.get(service, now) < self._budget.window
-        is_ignorant = is_new and not self._windows[service].has_heard
-        share = FIRST_SHARE if is_ignorant else SHARE_OF_SLACK
-        if self._is_alone(service):
-            share /= self._fleet.count()
-        return share * self._budget.slack
-
     def _is_alone(self, service: str) -> bool:
         """Return whether no other VM asks here for targets of a service."""
         now = anyio.current_time()
@@ -394,10 +296,6 @@
                 self._deliver(asker[0], decision)
 
 
-def _announce_nothing(service: str) -> None:
-    """Leave it to the regular telling."""
-
-
 def _use_whole_limits(known: dispatcher.Dispatcher, now: float) -> None:
     """Let a dispatcher that decides for others as well use what its targets take."""
     for state in known.pool.list_states():
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -155,7 +155,7 @@
             if getattr(fresh, field.name) != getattr(self._settings, field.name)
         ]
         self._settings = fresh
-        self._desk.use_budget(fresh.retries)
+        self._desk.retries.use_budget(fresh.retries, anyio.current_time())
         self._store.use_address(fresh.store.host, fresh.store.port)
         waiting = [name for name in changed if name not in CHANGEABLE]
         self._log.write("reload", outcome="in force", changed=changed, waiting=waiting)
@@ -251,7 +251,7 @@
         self._talk = fleet_talk.FleetTalk(
             self._fleet, self._link, hearers, self._log, self._note_fault
         )
-        self._desk.use_announcer(self._talk.tell_retries)
+        self._desk.retries.use_announcer(self._talk.tell_retries)
         self._client = target_client.TargetClient(self._words)
         self._suspension = suspension.SuspensionWatch(self._take_suspension)
         tools = forwarder.Tools(
@@ -338,9 +338,25 @@
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
             self.metrics.set_gauge(name, value)
+        self._set_retry_metrics()
         body = self.metrics.format_text().encode()
         return calls.Reply(200, [(b"content-type", b"text/plain")], body)
 
+    def _set_retry_metrics(self) -> None:
+        """Set what this VM has counted of the retries of each service."""
+        now = anyio.current_time()
+        for service in self._desk.list_services():
+            counted = self._desk.retries.find_counted(service, now)
+            labels = metrics.label(service=service)
+            for name, value in (
+                ("zinniastand_dispatched_requests_total", counted.requests),
+                ("zinniastand_retries_total", counted.retries),
+                ("zinniastand_retries_resent_total", counted.resent),
+                ("zinniastand_retries_returned_total", counted.returned),
+                ("zinniastand_retries_left", counted.left),
+            ):
+                self.metrics.set_gauge(name, value, labels)
+
     def _take_suspension(self, seconds: float) -> None:
         """Take in that this VM stood still for longer than its clock says."""
         self._log.write("suspended", seconds=round(seconds, 3))
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -10,7 +10,7 @@
 from zinniastand_core import documents, findings
 
 from .. import settings_document
-from . import desk
+from . import retry_counts
 
 MOST_PORT = 65_535
 
@@ -57,7 +57,7 @@
     unready_after: float
     """Seconds that the balancer may take to notice that this VM is not ready."""
 
-    retries: desk.RetryBudget
+    retries: retry_counts.RetryBudget
     """Retries that a service may get."""
 
 
@@ -116,7 +116,7 @@
         store=_read_address(reader, "store"),
         stop_limit=reader.read_number("stop_limit_s", 6.0, 0.1, 3600),
         unready_after=reader.read_number("unready_after_s", 2.5, 0, 60),
-        retries=desk.RetryBudget(
+        retries=retry_counts.RetryBudget(
             ratio=retries.read_number("ratio", 0.2, 0, 10),
             slack=retries.read_number("slack", 10.0, 0, 1e6),
             window=retries.read_number("window_s", 10.0, 0.1, 3600),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -204,7 +204,7 @@
         }
         names.discard(fleet.own.vm)
         hearers = [fleet.find(vm) for vm in sorted(names)]
-        told = desk.count_retries(service, now, is_whole)
+        told = desk.retries.tell(service, now, is_whole)
         if told.counts:
             self._link.send_many(told, [one for one in hearers if one is not None])
 
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -10,8 +10,8 @@
 import pytest
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages, shards
-from zinniastand_proxy.edge import datagrams, desk, members, ports
+from zinniastand_core.dispatch import messages, retry_window, shards
+from zinniastand_proxy.edge import datagrams, desk, members, ports, retry_counts
 
 pytestmark = pytest.mark.anyio
 
@@ -38,7 +38,7 @@
     made = desk.Desk(
         fleet,
         registry,
-        desk.RetryBudget(0.2, 50.0, 10.0),
+        retry_counts.RetryBudget(0.2, 50.0, 10.0),
         random.Random(1),
         lambda _, decision: decisions.append(decision),
     )
@@ -120,17 +120,19 @@
 
 def test_dispatcher_and_the_one_after_it_stay_within_the_slack() -> None:
     # Guards against the whole slack being given out by each of two in a row.
-    assert desk.SHARE_OF_SLACK + desk.FIRST_SHARE < 1.0
+    assert retry_counts.SHARE_OF_SLACK + retry_counts.FIRST_SHARE < 1.0
 
 
 async def test_dispatcher_gives_more_once_it_has_counted_for_a_window(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     made, decisions = make_desk(vms=20)
-    assert count_retries(made, decisions, "vm-1") <= 50 * desk.FIRST_SHARE
+    assert count_retries(made, decisions, "vm-1") <= 50 * retry_counts.FIRST_SHARE
     later = anyio.current_time() + 10.1
     monkeypatch.setattr(anyio, "current_time", lambda: later)
-    assert 25 < count_retries(made, decisions, "vm-2") <= 50 * desk.SHARE_OF_SLACK
+    assert (
+        25 < count_retries(made, decisions, "vm-2") <= 50 * retry_counts.SHARE_OF_SLACK
+    )
 
 
 async def test_shards_share_the_slack_of_their_service() -> None:
@@ -167,3 +169,48 @@
     [told] = made.summarize(shards.Shard("desk"), now).items
     assert told.failing > 0.8
     assert told.slowness > 2.5
+
+
+async def test_dispatcher_that_begins_knows_what_others_have_given_out() -> None:
+    # Guards against retries that are given out once more after a change of dispatcher.
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    made.update_targets(now)
+    parts = (retry_window.Part(7, 1.0, 100, 50),)
+    made.take_retries(datagrams.Retries("desk", (("vm-9:1:0", parts),)), now)
+    assert count_retries(made, decisions, "vm-1") == 2
+    counted = made.retries.find_counted("desk", now)
+    assert (counted.requests, counted.retries) == (0, 2)
+    assert counted.left < 1.0
+
+
+async def test_counts_of_services_that_nobody_knows_are_not_kept() -> None:
+    made, _ = make_desk(vms=20)
+    now = anyio.current_time()
+    made.update_targets(now)
+    parts = (retry_window.Part(7, 1.0, 100, 50),)
+    for service in ("desk", "other"):
+        made.take_retries(datagrams.Retries(service, (("vm-9:1:0", parts),)), now)
+    assert made.retries.tell("desk", now, is_whole=True).counts
+    assert not made.retries.tell("other", now, is_whole=True).counts
+
+
+async def test_many_retries_are_told_at_once() -> None:
+    # Guards against retries that the next dispatcher does not hear of in time.
+    made, decisions = make_desk(vms=20)
+    told: list[str] = []
+    made.retries.use_announcer(told.append)
+    assert count_retries(made, decisions, "vm-1") >= 10
+    assert told
+
+
+async def test_dispatcher_that_was_away_counts_under_a_new_name() -> None:
+    # Guards against counts of before a suspension that are added to at a later time.
+    made, decisions = make_desk(vms=20)
+    now = anyio.current_time()
+    count_retries(made, decisions, "vm-1")
+    [(before, _)] = made.retries.tell("desk", now, is_whole=True).counts
+    made.forget()
+    count_retries(made, decisions, "vm-2")
+    [(after, _)] = made.retries.tell("desk", now, is_whole=True).counts
+    assert before != after
--- a/tests/edge/test_leaving_vm.py
+++ b/tests/edge/test_leaving_vm.py
@@ -23,8 +23,8 @@
 
 from zinniastand_proxy.edge import (
     calls,
-    desk,
     edge_settings,
+    retry_counts,
 )
 
 
@@ -82,7 +82,7 @@
         make_settings = site.make_settings
 
         def make_settings_with_little_slack(name: str) -> edge_settings.Settings:
-            budget = desk.RetryBudget(0.2, 5.0, 10.0)
+            budget = retry_counts.RetryBudget(0.2, 5.0, 10.0)
             return dataclasses.replace(make_settings(name), retries=budget)
 
         site.make_settings = make_settings_with_little_slack  # type: ignore[method-assign]
--- a/tests/edge/test_placement.py
+++ b/tests/edge/test_placement.py
@@ -20,6 +20,7 @@
     peer_link,
     placement,
     ports,
+    retry_counts,
 )
 
 pytestmark = pytest.mark.anyio
@@ -73,7 +74,7 @@
         self.desk = desk.Desk(
             self.fleet,
             registry,
-            desk.RetryBudget(0.2, 10.0, 10.0),
+            retry_counts.RetryBudget(0.2, 10.0, 10.0),
             random.Random(1),
             lambda _, decision: self.placement.take_decision(decision),
         )
@@ -171,7 +172,7 @@
         desk.Desk(
             one.fleet,
             registry,
-            desk.RetryBudget(0.2, 10.0, 10.0),
+            retry_counts.RetryBudget(0.2, 10.0, 10.0),
             random.Random(1),
             lambda _, decision: one.placement.take_decision(decision),
         )
--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -20,11 +20,11 @@
 from zinniastand_platform import encoding, store, words
 from zinniastand_proxy.edge import (
     calls,
-    desk,
     edge_daemon,
     edge_settings,
     http_server,
     log_lines,
+    retry_counts,
 )
 from zinniastand_standins import loopback, topic_store, topic_store_app
 
@@ -224,7 +224,7 @@
             store=edge_settings.Address(HOST, self.store_port),
             stop_limit=self.stop_limit,
             unready_after=self.unready_after,
-            retries=desk.RetryBudget(0.2, 50.0, 10.0),
+            retries=retry_counts.RetryBudget(0.2, 50.0, 10.0),
         )
 
 
