--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -143,6 +143,9 @@
     target_id: str
     """The target."""
 
+    service: str
+    """Its service."""
+
     at: float
     """When."""
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -39,6 +39,9 @@
     LIMITS = "limits"
     """All sorts; targets name how many requests a second they take."""
 
+    RETRIES = "retries"
+    """All sorts; whole services turn work away, and VMs are killed meanwhile."""
+
     CRASHES = "crashes"
     """All sorts; requests that crash whatever runs them, and targets that crash."""
 
@@ -97,6 +100,9 @@
     CRASHING = "crashing"
     """A request that crashes its targets is sent again and again to any VM."""
 
+    SHED = "shed"
+    """All targets of a service turn away what they get."""
+
     CORNER = "corner"
     """A target takes long at times while the others of its service misbehave."""
 
@@ -133,6 +139,7 @@
     Kind.SERIES: {**MIXED, Act.ROLL: 2},
     Kind.DRILLS: {**MIXED, Act.DRILL: 4, Act.REPLACE: 6, Act.ROLL: 1},
     Kind.LIMITS: {**MIXED, Act.LIMIT: 8, Act.ROLL: 1},
+    Kind.RETRIES: {**MIXED, Act.SHED: 8, Act.KILL: 5, Act.PAUSE: 4, Act.ROLL: 1},
     Kind.CRASHES: {**MIXED, Act.CRASH: 8, Act.CRASHING: 2},
 }
 
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -155,6 +155,33 @@
         ),
         plan.Kind.LIMITS,
     ),
+    Plant(
+        "dispatchers do not tell what they have given out",
+        "retries",
+        (
+            Change(
+                f"{EDGE}/fleet_talk.py",
+                "if told.counts:",
+                "if told.counts and not told.service:",
+            ),
+            Change(
+                f"{EDGE}/retry_counts.py", "FIRST_SHARE = 0.25", "FIRST_SHARE = 0.65"
+            ),
+        ),
+        plan.Kind.RETRIES,
+    ),
+    Plant(
+        "a retry is not counted",
+        "retries",
+        (
+            Change(
+                f"{CORE}/dispatch/retry_window.py",
+                "self._retries[-1] += 1",
+                "self._retries[-1] += 0",
+            ),
+        ),
+        plan.Kind.RETRIES,
+    ),
     Plant(
         "a request that crashes its targets goes on to many",
         "crashing",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from zinniastand_proxy.edge import request_run
+from zinniastand_standins import retry_audit
 
 from . import ledger
 
@@ -46,6 +47,17 @@
 LIMIT_SLACK = 5
 """Requests that it may get beyond that."""
 
+RETRIES = retry_audit.Bound(ratio=0.2, slack=20.0, span=10.0)
+"""Retries that each service may get. A smaller slack than usual: the load is small."""
+
+LEADS_TO = {
+    "/safe/": ("desk",),
+    "/once/": ("desk",),
+    "/other/": ("register",),
+    "/moving/": ("desk", "register"),
+}
+"""Services that requests for a path may go to."""
+
 CRASHING = "/safe/crash/"
 """Begin of the paths of requests that crash whatever runs them."""
 
@@ -85,6 +97,7 @@
         _check_given_up,
         _check_crashing,
         _check_limits,
+        _check_retries,
         _check_denied,
     )
     found = [breach for check in checks for breach in check(book)]
@@ -294,6 +307,25 @@
             yield Breach("limit", what)
 
 
+def _check_retries(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """A service gets no more retries than its requests allow, whatever fails."""
+    for service in sorted({one.service for one in book.arrived}):
+        sent = [
+            one.at
+            for one in book.sent
+            for prefix, services in LEADS_TO.items()
+            if one.path.startswith(prefix) and service in services
+        ]
+        arrived = [
+            (one.at, one.request_id) for one in book.arrived if one.service == service
+        ]
+        repeated = retry_audit.find_retries(arrived)
+        worst = retry_audit.find_worst(sent, repeated, RETRIES)
+        if worst.excess > 0:
+            what = f"{service}: {worst.retries} in {RETRIES.span:.0f} s"
+            yield Breach("retries", f"{what}, {worst.allowed:.0f} allowed")
+
+
 def _check_denied(book: ledger.Ledger) -> collections.abc.Iterator[Breach]:
     """Only requests that crash their targets are kept from them."""
     guilty = {one.path for one in book.crashed if one.path}
--- a/soak/run.py
+++ b/soak/run.py
@@ -262,6 +262,8 @@
             case plan.Act.CORNER:
                 await self._corner(target, step)
                 return target.target_id
+            case plan.Act.SHED:
+                await self._shed(target, step)
             case plan.Act.TARGET_LINK:
                 await target.link.suffer(links.Trouble(step.how), step.for_s)
                 return target.target_id
@@ -285,6 +287,15 @@
         for one in some:
             one.misbehave(targets.Fault.NONE)
 
+    async def _shed(self, target: targets.Target, step: plan.Step) -> None:
+        """Let all targets of a service turn work away."""
+        some = [one for one in self._targets if one.service == target.service]
+        for one in some:
+            one.misbehave(targets.Fault.SHED)
+        await anyio.sleep(step.for_s)
+        for one in some:
+            one.misbehave(targets.Fault.NONE)
+
     async def _roll(self, step: plan.Step) -> None:
         """Stop all VMs but one, each before the one before it is back."""
         async with anyio.create_task_group() as stops:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -133,7 +133,8 @@
         if headers.get(words.HEADERS.expected_target) != self.target_id.encode():
             return calls.Reply(421, [], b"")
         now = anyio.current_time()
-        self._book.arrived.append(ledger.Arrived(request_id, self.target_id, now))
+        arrived = ledger.Arrived(request_id, self.target_id, self.service, now)
+        self._book.arrived.append(arrived)
         if self._fault is Fault.SHED:
             not_run = (words.HEADERS.not_run, b"1")
             return calls.Reply(503, [not_run, *self._name_limit()], b"")
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -17,7 +17,7 @@
 from zinniastand_platform import words
 from zinniastand_standins import loopback
 
-from . import links
+from . import links, promises
 
 READY_PAUSE = 0.1
 """Seconds between two questions whether a VM is ready."""
@@ -83,7 +83,11 @@
             "store": f"{links.HOST}:{self.store.port}",
             "stop_limit_s": GRACE,
             "unready_after_s": UNREADY_AFTER,
-            "retries": {"ratio": 0.2, "slack": 100, "window_s": 10},
+            "retries": {
+                "ratio": promises.RETRIES.ratio,
+                "slack": promises.RETRIES.slack,
+                "window_s": promises.RETRIES.span,
+            },
         }
         self._path.write_text(json.dumps(settings))
 
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -57,6 +57,26 @@
     assert report.served > 0.5 * report.sent
 
 
+def test_every_promise_holds_where_services_turn_work_away(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against retries beyond their bound while VMs that dispatch are killed.
+    shape = run.Shape(plan.Kind.RETRIES)
+    report = run.play(SHORT_SEEDS[0], tmp_path, shape=shape)
+    assert report.breaches == ()
+
+
+def test_retries_beyond_their_bound_are_seen() -> None:
+    book = make_book()
+    for number in range(30):
+        for target in ("t1", "t2"):
+            arrived = ledger.Arrived(f"x{number}", target, "desk", 10.0 + number / 100)
+            book.arrived.append(arrived)
+    assert name_breaches(book) == {"retries"}
+    del book.arrived[36:]
+    assert not name_breaches(book)
+
+
 def test_every_promise_holds_where_targets_name_limits(tmp_path: pathlib.Path) -> None:
     # Guards against limits that each VM keeps by itself, or that a new dispatcher does
     # not know.
@@ -82,7 +102,7 @@
     for number in range(18):
         at = 24.0 + number / 10
         book.sent.append(ledger.Sent(f"l{number}", 0, False, "/safe/1", b"", at))
-        book.arrived.append(ledger.Arrived(f"l{number}", "t9", at))
+        book.arrived.append(ledger.Arrived(f"l{number}", "t9", "desk", at))
     assert "limit" in name_breaches(book)
     book.arrived.pop()
     assert "limit" not in name_breaches(book)
