--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -50,6 +50,8 @@
     """Retries that were given out."""
 
 
+NOTHING = Part(0, 0.0, 0, 0)
+
 Count = tuple[str, tuple[Part, ...]]
 """What a counter has counted, with the name of the counter."""
 
@@ -91,10 +93,12 @@
         self._span = span
         self._counter = counter
         self._newest = 0
+        self._told_from = 0
         self._requests = [0] * KEPT
         self._retries = [0] * KEPT
         self._reserved = 0
         self._others: dict[str, dict[int, tuple[float, Part]]] = {}
+        self._heard = ([0] * KEPT, [0] * KEPT)
         self._room: float | None = None
         self._was_alone = False
         self._spent = 0
@@ -118,11 +122,15 @@
         """Use other bounds from now on; what was counted is kept."""
         if span != self._span:
             own = self._list_parts(now, KEPT)
+            told = [one for parts in self._others.values() for one in parts.values()]
             self._span = span
             self._newest = self._find_part(now)
             self._requests, self._retries = self._arrange(
                 [(now - part.ago, part) for part in own]
             )
+            self._heard = self._arrange(told)
+            # The others have these counts under the numbers of the former span.
+            self._told_from = self._newest + 1
         self._ratio = ratio
         self._room = None
 
@@ -175,15 +183,16 @@
     def tell(self, now: float, is_whole: bool) -> list[Count]:
         """Return what was counted here lately, or all that is known of any counter."""
         self._move_to(now)
+        self._forget_old(now)
         self.untold = 0
         if not is_whole:
-            return _choose([(self._counter, self._list_parts(now, RECENT))])
+            return _choose([(self._counter, self._list_told(now, RECENT))])
         others = [
             (counter, [dataclasses.replace(part, ago=now - at) for at, part in known])
             for counter, parts in self._others.items()
             if (known := parts.values())
         ]
-        return _choose([(self._counter, self._list_parts(now, KEPT)), *others])
+        return _choose([(self._counter, self._list_told(now, KEPT)), *others])
 
     def take(self, count: Count, now: float) -> None:
         """Take in what another counter has counted, from it or from one that knows.
@@ -194,13 +203,14 @@
         counter, parts = count
         if counter == self._counter:
             return
+        self._move_to(now)
         known = self._others.setdefault(counter, {})
         for part in parts:
-            at, before = known.get(part.number, (now - part.ago, part))
+            at, before = known.get(part.number, (now - part.ago, NOTHING))
             requests = max(before.requests, part.requests)
             retries = max(before.retries, part.retries)
-            most = Part(part.number, 0.0, requests, retries)
-            known[part.number] = (at, most)
+            known[part.number] = (at, Part(part.number, 0.0, requests, retries))
+            self._add(at, requests - before.requests, retries - before.retries)
         self._room = None
 
     def find_ease(self, now: float) -> float:
@@ -220,7 +230,10 @@
         is_alone = self._read_is_alone()
         if self._room is None or self._was_alone is not is_alone:
             self._was_alone = is_alone
-            requests, retries = self._add_up(now, is_alone)
+            requests, retries = self._requests, self._retries
+            if not is_alone:
+                requests = _add_up(requests, self._heard[0])
+                retries = _add_up(retries, self._heard[1])
             self._spent = sum(retries[-PARTS:])
             self._room = self._find_room(requests, retries)
         return self._room + self._read_slack() - self._reserved
@@ -246,18 +259,6 @@
             for part in range(PARTS - 1, KEPT)
         )
 
-    def _add_up(self, now: float, is_alone: bool) -> tuple[list[int], list[int]]:
-        """Return requests and retries by part, of all counters that matter here."""
-        if not self._others or is_alone:
-            return self._requests, self._retries
-        self._forget_old(now)
-        told = [one for parts in self._others.values() for one in parts.values()]
-        requests, retries = self._arrange(told)
-        return (
-            [own + other for own, other in zip(self._requests, requests, strict=True)],
-            [own + other for own, other in zip(self._retries, retries, strict=True)],
-        )
-
     def _forget_old(self, now: float) -> None:
         """Forget what lies too far back to count."""
         oldest = now - 2 * self._span
@@ -271,19 +272,24 @@
     def _arrange(
         self, told: collections.abc.Iterable[tuple[float, Part]]
     ) -> tuple[list[int], list[int]]:
-        """Return parts with their begin, added up in the parts that are kept here.
+        """Return parts, each with its begin, added up by the parts of this span."""
+        before, self._heard = self._heard, ([0] * KEPT, [0] * KEPT)
+        for at, part in told:
+            self._add(at, part.requests, part.retries)
+        arranged, self._heard = self._heard, before
+        return arranged
 
-        A part of another counter lies in two parts here. Its retries go to the later
-        one, and so count for each span that may hold them.
+    def _add(self, at: float, requests: int, retries: int) -> None:
+        """Add what another counter has counted in a part that began at a time.
+
+        It lies in two parts here. Its retries go to the later one, and so count for
+        each span that may hold them.
         """
-        requests, retries = [0] * KEPT, [0] * KEPT
-        for at, part in told:
-            index = self._find_part(at) - self._newest + KEPT - 1
-            if 0 <= index < KEPT:
-                requests[index] += part.requests
-            if -1 <= index < KEPT:
-                retries[min(index + 1, KEPT - 1)] += part.retries
-        return requests, retries
+        index = self._find_part(at) - self._newest + KEPT - 1
+        if 0 <= index < KEPT:
+            self._heard[0][index] += requests
+        if -1 <= index < KEPT:
+            self._heard[1][min(index + 1, KEPT - 1)] += retries
 
     def _list_parts(self, now: float, count: int) -> list[Part]:
         """Return the latest parts in which anything was counted."""
@@ -297,6 +303,11 @@
             if requests or retries
         ]
 
+    def _list_told(self, now: float, count: int) -> list[Part]:
+        """Return the latest parts that others know by their present numbers."""
+        parts = self._list_parts(now, count)
+        return [part for part in parts if part.number >= self._told_from]
+
     def _find_part(self, at: float) -> int:
         return math.floor(at * PARTS / self._span)
 
@@ -307,9 +318,21 @@
             return
         self._newest += passed
         self._room = None
-        passed = min(passed, KEPT)
-        self._requests = [*self._requests[passed:], *[0] * passed]
-        self._retries = [*self._retries[passed:], *[0] * passed]
+        self._requests = _shift(self._requests, passed)
+        self._retries = _shift(self._retries, passed)
+        requests, retries = self._heard
+        self._heard = _shift(requests, passed), _shift(retries, passed)
+
+
+def _add_up(counts: list[int], others: list[int]) -> list[int]:
+    """Return the sums of two counts by part."""
+    return [one + other for one, other in zip(counts, others, strict=True)]
+
+
+def _shift(counts: list[int], passed: int) -> list[int]:
+    """Return counts of parts as they stand some parts later."""
+    passed = min(passed, KEPT)
+    return [*counts[passed:], *[0] * passed]
 
 
 def _choose(counts: list[tuple[str, list[Part]]]) -> list[Count]:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_talk.py
@@ -204,8 +204,7 @@
         }
         names.discard(fleet.own.vm)
         hearers = [fleet.find(vm) for vm in sorted(names)]
-        told = desk.retries.tell(service, now, is_whole)
-        if told.counts:
+        for told in desk.retries.tell(service, now, is_whole):
             self._link.send_many(told, [one for one in hearers if one is not None])
 
     async def greet(self) -> None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
@@ -25,6 +25,9 @@
 """Share of the slack of retries that is given out until the other dispatchers are told
 at once: so much of what one has given out is unknown to the next at most."""
 
+MOST_PARTS = 1_500
+"""Parts of counts in one datagram, to which those of one count may be added."""
+
 Announce = collections.abc.Callable[[str], None]
 IsAlone = collections.abc.Callable[[str], bool]
 
@@ -118,10 +121,21 @@
         if untold and untold >= MOST_UNTOLD * self._budget.slack:
             self._announce(service)
 
-    def tell(self, service: str, now: float, is_whole: bool) -> datagrams.Retries:
-        """Return what was counted here lately of a service, or all that is known."""
-        counts = self.open(service, now).tell(now, is_whole)
-        return datagrams.Retries(service, tuple(counts))
+    def tell(self, service: str, now: float, is_whole: bool) -> list[datagrams.Retries]:
+        """Return what was counted here lately of a service, or all that is known.
+
+        Where many VMs decide alone, it does not fit one datagram.
+        """
+        told: list[datagrams.Retries] = []
+        counts: list[retry_window.Count] = []
+        for count in self.open(service, now).tell(now, is_whole):
+            counts.append(count)
+            if sum(len(parts) for _, parts in counts) >= MOST_PARTS:
+                told.append(datagrams.Retries(service, tuple(counts)))
+                counts = []
+        if counts:
+            told.append(datagrams.Retries(service, tuple(counts)))
+        return told
 
     def take(self, told: datagrams.Retries, now: float) -> None:
         """Take in what another VM knows."""
--- a/soak/plants.py
+++ b/soak/plants.py
@@ -161,8 +161,8 @@
         (
             Change(
                 f"{EDGE}/fleet_talk.py",
-                "if told.counts:",
-                "if told.counts and not told.service:",
+                "for told in desk.retries.tell(service, now, is_whole):",
+                "for told in []:",
             ),
             Change(
                 f"{EDGE}/retry_counts.py", "FIRST_SHARE = 0.25", "FIRST_SHARE = 0.65"
--- a/tests/dispatch/test_retry_window.py
+++ b/tests/dispatch/test_retry_window.py
@@ -159,3 +159,19 @@
     window.use(0.2, 2 * SPAN, 10.1)
     assert window.find_left(10.1) == pytest.approx(0.0)
     assert window.find_left(10.1 + 2.1 * SPAN) == pytest.approx(3.0)
+
+
+def test_counts_are_told_once_though_the_span_changes() -> None:
+    # Guards against requests that earn once by the numbers of each span.
+    first, second = (
+        retry_window.RetryWindow(0.2, lambda: 0.0, SPAN, name) for name in "ab"
+    )
+    for number in range(100):
+        first.add_request(10.0 + number / 100)
+    for count in first.tell(11.1, is_whole=True):
+        second.take(count, 11.1)
+    before = second.find_left(11.2)
+    first.use(0.2, 2 * SPAN, 11.2)
+    for count in first.tell(11.2, is_whole=True):
+        second.take(count, 11.2)
+    assert second.find_left(11.2) == pytest.approx(before)
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -11,7 +11,14 @@
 
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages, retry_window, shards
-from zinniastand_proxy.edge import datagrams, desk, members, ports, retry_counts
+from zinniastand_proxy.edge import (
+    datagrams,
+    desk,
+    members,
+    peer_link,
+    ports,
+    retry_counts,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -191,8 +198,8 @@
     parts = (retry_window.Part(7, 1.0, 100, 50),)
     for service in ("desk", "other"):
         made.take_retries(datagrams.Retries(service, (("vm-9:1:0", parts),)), now)
-    assert made.retries.tell("desk", now, is_whole=True).counts
-    assert not made.retries.tell("other", now, is_whole=True).counts
+    assert made.retries.tell("desk", now, is_whole=True)
+    assert not made.retries.tell("other", now, is_whole=True)
 
 
 async def test_many_retries_are_told_at_once() -> None:
@@ -209,8 +216,25 @@
     made, decisions = make_desk(vms=20)
     now = anyio.current_time()
     count_retries(made, decisions, "vm-1")
-    [(before, _)] = made.retries.tell("desk", now, is_whole=True).counts
+    [told] = made.retries.tell("desk", now, is_whole=True)
+    [(before, _)] = told.counts
     made.forget()
     count_retries(made, decisions, "vm-2")
-    [(after, _)] = made.retries.tell("desk", now, is_whole=True).counts
+    [told] = made.retries.tell("desk", now, is_whole=True)
+    [(after, _)] = told.counts
     assert before != after
+
+
+async def test_counts_of_many_vms_fit_their_datagrams() -> None:
+    # Guards against counts that are not told at all where all VMs decided alone.
+    made, _ = make_desk(vms=20)
+    now = anyio.current_time()
+    made.update_targets(now)
+    parts = tuple(retry_window.Part(n, 10.0 - n / 10, 9, 9) for n in range(100))
+    names = [f"a-vm-of-a-long-name-{n}:1791131941936:0" for n in range(291)]
+    for name in names:
+        made.take_retries(datagrams.Retries("desk", ((name, parts),)), now)
+    told = made.retries.tell("desk", now, is_whole=True)
+    sizes = [len(datagrams.encode(one, now)) for one in told]
+    assert max(sizes) <= peer_link.MOST_BYTES
+    assert {name for one in told for name, _ in one.counts} == set(names)
