--- a/tests/edge/test_retry_bound.py
+++ b/tests/edge/test_retry_bound.py
@@ -36,6 +36,23 @@
     assert result.worst.excess <= 0, result
 
 
+@pytest.mark.parametrize(
+    "kills",
+    [
+        (retry_fleet.Kill(9.5, 1.0, 0.8),),
+        (retry_fleet.Kill(9.5, 0.5, 0.8), retry_fleet.Kill(12.0, 0.5, 0.8)),
+    ],
+    ids=["all", "half, twice"],
+)
+def test_dispatcher_that_nobody_tells_gives_out_little(
+    kills: tuple[retry_fleet.Kill, ...],
+) -> None:
+    # Guards against counts that are lost since all who knew of them are killed at once.
+    for seed in (1, 2, 3):
+        result = play(dataclasses.replace(SMALL, kills=kills), seed)
+        assert result.worst.excess <= 0, result
+
+
 def test_dispatchers_that_are_taken_for_lost_give_out_no_retries_twice() -> None:
     # Guards against two dispatchers that count one request each, and each a slack.
     lag = retry_fleet.Spell(0.0, 20.0, 0.3)
