--- a/bench/retry_fleet.py
+++ b/bench/retry_fleet.py
@@ -283,6 +283,7 @@
             retry_counts.RetryBudget(bound.ratio, bound.slack, bound.span),
             rng,
             self._deliver,
+            is_new_fleet=born == FIRST_INCARNATION,
         )
         self.desk.update_targets(now)
         self.placement = placement.Placement(self.members, link, log, rng)
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -11,6 +11,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 import itertools
 import math
 
@@ -33,6 +34,21 @@
 the retries that they allow, and spares telling of each VM that once decided alone."""
 
 
+class Basis(enum.Enum):
+    """Which counts allow retries."""
+
+    ALL = enum.auto()
+    """What was counted here and what others have told."""
+
+    OWN = enum.auto()
+    """What was counted here: this counter decides for its own VM only, and others may
+    give out what all have counted."""
+
+    NONE = enum.auto()
+    """Nothing: retries may have been given out here that nobody has told. Only the
+    slack is left."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Part:
     """What was counted in a part of a span."""
@@ -73,10 +89,8 @@
         Seconds that count.
     counter : str, optional
         Names what is counted here among all that count for the service.
-    read_is_alone : callable, optional
-        Returns whether this counter decides for its own VM only. It then keeps to what
-        it has counted itself: what others have counted allows retries that they may
-        give out as well.
+    read_basis : callable, optional
+        Returns which counts allow retries now.
     """
 
     def __init__(
@@ -85,11 +99,11 @@
         read_slack: collections.abc.Callable[[], float],
         span: float,
         counter: str = "",
-        read_is_alone: collections.abc.Callable[[], bool] = lambda: False,
+        read_basis: collections.abc.Callable[[], Basis] = lambda: Basis.ALL,
     ) -> None:
         self._ratio = ratio
         self._read_slack = read_slack
-        self._read_is_alone = read_is_alone
+        self._read_basis = read_basis
         self._span = span
         self._counter = counter
         self._newest = 0
@@ -100,7 +114,7 @@
         self._others: dict[str, dict[int, tuple[float, Part]]] = {}
         self._heard = ([0] * KEPT, [0] * KEPT)
         self._room: float | None = None
-        self._was_alone = False
+        self._basis = Basis.ALL
         self._spent = 0
         self.untold = 0
         """Retries that were given out since the others were told."""
@@ -113,11 +127,6 @@
         self.returned = 0
         """Retries that were given back."""
 
-    @property
-    def has_heard(self) -> bool:
-        """Whether another counter has told what it counted."""
-        return bool(self._others)
-
     def use(self, ratio: float, span: float, now: float) -> None:
         """Use other bounds from now on; what was counted is kept."""
         if span != self._span:
@@ -227,13 +236,15 @@
         Requests of the latest part count from the next one on.
         """
         self._move_to(now)
-        is_alone = self._read_is_alone()
-        if self._room is None or self._was_alone is not is_alone:
-            self._was_alone = is_alone
+        basis = self._read_basis()
+        if self._room is None or self._basis is not basis:
+            self._basis = basis
             requests, retries = self._requests, self._retries
-            if not is_alone:
+            if basis is not Basis.OWN:
                 requests = _add_up(requests, self._heard[0])
                 retries = _add_up(retries, self._heard[1])
+            if basis is Basis.NONE:
+                requests = [0] * KEPT
             self._spent = sum(retries[-PARTS:])
             self._room = self._find_room(requests, retries)
         return self._room + self._read_slack() - self._reserved
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -193,6 +193,9 @@
     counts: tuple[retry_window.Count, ...]
     """What it has counted, and what others have, each with the name of the counter."""
 
+    is_sure: bool = False
+    """Whether this, with what it told just before, is all that was given out lately."""
+
 
 MOST_NAMES = 256
 """Names of targets in one list of an ask; a VM leaves out fewer."""
@@ -294,7 +297,7 @@
                 [counter, [list(dataclasses.astuple(part)) for part in parts]]
                 for counter, parts in message.counts
             ]
-            return ["t", message.service, counts]
+            return ["t", message.service, counts, message.is_sure]
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
@@ -335,7 +338,7 @@
             return Suspects(suspect_codec.unpack(rest[0], now))
         case "t":
             counts = tuple((str(name), _unpack_parts(told)) for name, told in rest[1])
-            return Retries(str(rest[0]), counts)
+            return Retries(str(rest[0]), counts, rest[2] is True)
         case "g":
             return messages.Grant(*rest)
         case "r":
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/desk.py
@@ -58,6 +58,8 @@
         Spreads returns of refused callers.
     deliver : callable
         Takes the VM that asked and the decision.
+    is_new_fleet : bool, optional
+        Whether this VM starts together with the whole fleet.
     """
 
     def __init__(
@@ -67,10 +69,13 @@
         budget: retry_counts.RetryBudget,
         rng: random.Random,
         deliver: Deliver,
+        is_new_fleet: bool = False,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
-        self.retries = retry_counts.RetryCounts(fleet, budget, self._is_alone)
+        self.retries = retry_counts.RetryCounts(
+            fleet, budget, self._is_alone, is_new_fleet
+        )
         self._rng = rng
         self._deliver = deliver
         self._dispatchers: dict[shards.Shard, dispatcher.Dispatcher] = {}
@@ -110,6 +115,7 @@
         self._askers[ask.ticket] = (vm, now + KEEP_ASKER)
         self._used_at[ask.shard] = now
         known = self._open(ask.shard, now)
+        self.retries.note_active(ask.shard.service, now)
         if vm != self._fleet.own.vm:
             if self._find_share(ask.shard) < 1.0:
                 _use_whole_limits(known, now)
@@ -138,7 +144,7 @@
             for service, entries in by_service.items()
         }
         self._limits.forget_gone(now)
-        self.retries.forget_gone({*self._divisions, *self.list_services()})
+        self.retries.forget_gone({*self._divisions, *self.list_services()}, now)
         for shard, known in self._dispatchers.items():
             self._send(known.update_targets(self._list_targets(shard, now), now))
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -287,7 +287,12 @@
         self._configured = configuration.ConfigurationState()
         self._registry = targets.Registry()
         self._desk = desk.Desk(
-            self._fleet, self._registry, settings.retries, self._rng, self._deliver
+            self._fleet,
+            self._registry,
+            settings.retries,
+            self._rng,
+            self._deliver,
+            settings.is_new_fleet,
         )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_desk(self._desk)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -60,6 +60,9 @@
     retries: retry_counts.RetryBudget
     """Retries that a service may get."""
 
+    is_new_fleet: bool = False
+    """Whether this VM starts together with the whole fleet."""
+
 
 class SettingsFile:
     """A settings file that may change while its process runs.
@@ -121,6 +124,7 @@
             slack=retries.read_number("slack", 10.0, 0, 1e6),
             window=retries.read_number("window_s", 10.0, 0.1, 3600),
         ),
+        is_new_fleet=reader.read_flag("is_new_fleet", False),
     )
     retries.refuse_unknown()
     return result
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -115,6 +115,8 @@
         The ask names a service as a whole; it is placed in one of its shards.
         """
         service = ask.shard.service
+        if self._desk is not None:
+            self._desk.retries.note_request(service, anyio.current_time())
         refused: list[shards.Shard] = []
         answer: Answer = _refuse_late(ask)
         while len(refused) < MOST_SHARDS:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
@@ -5,6 +5,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 
 import anyio
 
@@ -18,13 +19,24 @@
 arrive."""
 
 FIRST_SHARE = 0.25
-"""The same for one that has not counted for a whole window and was not told what others
-have: the one before it may have given out its own share just now."""
+"""The same for one that does not know what others have given out: the one before it
+may have given out its own share just now."""
+
+LONGEST_GAP = 1.5
+"""Spans without an ask or a word from others after which a VM counts as one that has
+just begun: whoever may have to dispatch is told whole counts each second."""
 
 MOST_UNTOLD = 0.1
 """Share of the slack of retries that is given out until the other dispatchers are told
 at once: so much of what one has given out is unknown to the next at most."""
 
+NEW_FOR = 1.0
+"""Seconds after the first request of a service that a VM of a new fleet sees for which
+it knows that nobody has given out any retry: all see their first ones about then."""
+
+KEPT_SPANS = 3
+"""Spans for which the counts of a service without targets are kept."""
+
 MOST_PARTS = 1_500
 """Parts of counts in one datagram, to which those of one count may be added."""
 
@@ -77,16 +89,27 @@
         Retries allowed.
     is_alone : callable
         Returns whether no other VM asks here for targets of a service.
+    is_new_fleet : bool, optional
+        Whether this VM starts together with the whole fleet, so that nobody has given
+        out any retry before.
     """
 
     def __init__(
-        self, fleet: members.Members, budget: RetryBudget, is_alone: IsAlone
+        self,
+        fleet: members.Members,
+        budget: RetryBudget,
+        is_alone: IsAlone,
+        is_new_fleet: bool = False,
     ) -> None:
         self._fleet = fleet
         self._budget = budget
         self._is_alone = is_alone
         self._windows: dict[str, retry_window.RetryWindow] = {}
+        self._is_new_fleet = is_new_fleet
+        self._first_seen: dict[str, float] = {}
         self._counting_since: dict[str, float] = {}
+        self._active_at: dict[str, float] = {}
+        self._told: set[str] = set()
         self._numbers = itertools.count()
         self._counter = self._name_counter()
         self._announce: Announce = _announce_nothing
@@ -110,11 +133,25 @@
                 lambda: self._find_slack(service),
                 self._budget.window,
                 self._counter,
-                lambda: self._is_alone(service),
+                lambda: self._find_basis(service),
             )
-            self._counting_since[service] = now
         return window
 
+    def note_request(self, service: str, now: float) -> None:
+        """Take in that a caller asks this VM for a service."""
+        self._first_seen.setdefault(service, now)
+
+    def note_active(self, service: str, now: float) -> None:
+        """Take in that this VM dispatches a service, or is told of those who do."""
+        gap = now - self._active_at.get(service, -math.inf)
+        if gap > LONGEST_GAP * self._budget.window:
+            self._counting_since[service] = now
+            self._told.discard(service)
+            first_seen = self._first_seen.setdefault(service, now)
+            if self._is_new_fleet and now <= first_seen + NEW_FOR:
+                self._told.add(service)
+        self._active_at[service] = now
+
     def announce_untold(self, service: str) -> None:
         """Let the others hear at once where much has been given out."""
         untold = self._windows[service].untold
@@ -126,6 +163,7 @@
 
         Where many VMs decide alone, it does not fit one datagram.
         """
+        is_sure = is_whole and self._is_sure(service, now)
         told: list[datagrams.Retries] = []
         counts: list[retry_window.Count] = []
         for count in self.open(service, now).tell(now, is_whole):
@@ -133,8 +171,8 @@
             if sum(len(parts) for _, parts in counts) >= MOST_PARTS:
                 told.append(datagrams.Retries(service, tuple(counts)))
                 counts = []
-        if counts:
-            told.append(datagrams.Retries(service, tuple(counts)))
+        if counts or (is_sure and told):
+            told.append(datagrams.Retries(service, tuple(counts), is_sure))
         return told
 
     def take(self, told: datagrams.Retries, now: float) -> None:
@@ -142,6 +180,9 @@
         window = self.open(told.service, now)
         for count in told.counts:
             window.take(count, now)
+        self.note_active(told.service, now)
+        if told.is_sure:
+            self._told.add(told.service)
 
     def find_counted(self, service: str, now: float) -> Counted:
         """Return what was counted here of a service since this VM counts for it."""
@@ -164,13 +205,23 @@
         """Begin a new count, as a process that starts does."""
         self._windows.clear()
         self._counting_since.clear()
+        self._active_at.clear()
+        self._told.clear()
+        self._is_new_fleet = False
         self._counter = self._name_counter()
 
-    def forget_gone(self, services: collections.abc.Container[str]) -> None:
-        """Forget all services but these."""
-        for service in [one for one in self._windows if one not in services]:
+    def forget_gone(self, services: collections.abc.Container[str], now: float) -> None:
+        """Forget services other than these, once nothing counted of them matters.
+
+        One whose targets are all gone for a moment may be back in the next.
+        """
+        oldest = now - KEPT_SPANS * self._budget.window
+        for service in list(self._windows):
+            if service in services or self._active_at.get(service, 0.0) > oldest:
+                continue
             del self._windows[service]
-            del self._counting_since[service]
+            self._counting_since.pop(service, None)
+            self._told.discard(service)
 
     def _find_slack(self, service: str) -> float:
         """Return the retries that the dispatchers may give out beyond the share.
@@ -178,14 +229,30 @@
         VMs that reach no common dispatcher each decide alone. With the whole slack
         for each, a fleet of them would go beyond it many times over.
         """
-        now = anyio.current_time()
-        is_new = now - self._counting_since[service] < self._budget.window
-        is_ignorant = is_new and not self._windows[service].has_heard
-        share = FIRST_SHARE if is_ignorant else SHARE_OF_SLACK
+        is_sure = self._is_sure(service, anyio.current_time())
+        share = SHARE_OF_SLACK if is_sure else FIRST_SHARE
         if self._is_alone(service):
             share /= self._fleet.count()
         return share * self._budget.slack
 
+    def _find_basis(self, service: str) -> retry_window.Basis:
+        if self._is_alone(service):
+            return retry_window.Basis.OWN
+        if self._is_sure(service, anyio.current_time()):
+            return retry_window.Basis.ALL
+        return retry_window.Basis.NONE
+
+    def _is_sure(self, service: str, now: float) -> bool:
+        """Return whether this VM knows of all retries that were given out lately.
+
+        It does where it was told by one that does, where it has dispatched or been told
+        for a whole span, and where requests of a new fleet have just begun.
+        """
+        if service in self._told:
+            return True
+        since = self._counting_since.get(service, now)
+        return now - since >= self._budget.window
+
     def _name_counter(self) -> str:
         """Return a name for what is counted here from now on."""
         own = self._fleet.own
--- a/tests/dispatch/test_retry_window.py
+++ b/tests/dispatch/test_retry_window.py
@@ -12,6 +12,10 @@
 SPAN = 2.0
 
 
+def find_own() -> retry_window.Basis:
+    return retry_window.Basis.OWN
+
+
 @hypothesis.given(
     st.lists(st.tuples(st.floats(0, 0.5), st.integers(0, 5)), min_size=1, max_size=80)
 )
@@ -133,7 +137,7 @@
 def test_counter_that_decides_alone_uses_nothing_of_the_others() -> None:
     # Guards against VMs cut off from each other that each spend what all have earned.
     first = retry_window.RetryWindow(0.2, lambda: 0.0, SPAN, "a")
-    alone = retry_window.RetryWindow(0.2, lambda: 0.0, SPAN, "b", lambda: True)
+    alone = retry_window.RetryWindow(0.2, lambda: 0.0, SPAN, "b", find_own)
     for _ in range(100):
         first.add_request(0.0)
     for count in first.tell(0.0, is_whole=True):
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -27,7 +27,9 @@
 )
 
 
-def make_desk(vms: int, count: int = 1) -> tuple[desk.Desk, list[messages.Decision]]:
+def make_desk(
+    vms: int, count: int = 1, is_new_fleet: bool = False
+) -> tuple[desk.Desk, list[messages.Decision]]:
     now = anyio.current_time()
     fleet = members.Members(ports.Member("own", "a", "127.0.0.1", 1, 1), now)
     for n in range(vms - 1):
@@ -48,6 +50,7 @@
         retry_counts.RetryBudget(0.2, 50.0, 10.0),
         random.Random(1),
         lambda _, decision: decisions.append(decision),
+        is_new_fleet,
     )
     return made, decisions
 
@@ -184,7 +187,8 @@
     now = anyio.current_time()
     made.update_targets(now)
     parts = (retry_window.Part(7, 1.0, 100, 50),)
-    made.take_retries(datagrams.Retries("desk", (("vm-9:1:0", parts),)), now)
+    counts = (("vm-9:1:0", parts),)
+    made.take_retries(datagrams.Retries("desk", counts, is_sure=True), now)
     assert count_retries(made, decisions, "vm-1") == 2
     counted = made.retries.find_counted("desk", now)
     assert (counted.requests, counted.retries) == (0, 2)
@@ -238,3 +242,27 @@
     sizes = [len(datagrams.encode(one, now)) for one in told]
     assert max(sizes) <= peer_link.MOST_BYTES
     assert {name for one in told for name, _ in one.counts} == set(names)
+
+
+async def test_service_whose_targets_are_gone_for_a_moment_keeps_its_counts() -> None:
+    # Guards against a second slack for a service that the store lacks for a second.
+    made, decisions = make_desk(vms=20)
+    count_retries(made, decisions, "vm-1")
+    now = anyio.current_time()
+    before = made.retries.find_counted("desk", now).retries
+    assert before
+    made.retries.forget_gone(set(), now + 1.0)
+    assert made.retries.find_counted("desk", now + 1.0).retries == before
+    made.retries.forget_gone(set(), now + 31.0)
+    assert not made.retries.count_requests("desk")
+
+
+async def test_vm_of_a_new_fleet_knows_that_nothing_was_given_out() -> None:
+    # Guards against a fleet that has no retries for the first seconds of its traffic,
+    # and against one that takes a later change of dispatcher for its start.
+    for since, most in ((0.5, retry_counts.SHARE_OF_SLACK), (5.0, 0.25)):
+        made, decisions = make_desk(vms=20, is_new_fleet=True)
+        now = anyio.current_time()
+        made.retries.note_request("desk", now - since)
+        granted = count_retries(made, decisions, "vm-1")
+        assert 0.8 * most * 50 < granted <= most * 50
