--- a/tests/core/test_machines.py
+++ b/tests/core/test_machines.py
@@ -7,12 +7,17 @@
 import hypothesis
 import hypothesis.stateful
 import pytest
-from machines import claims, floor, heads, plants
+from machines import claims, floor, heads, plants, retries
 
 EXAMPLES = int(os.environ.get("MACHINE_EXAMPLES", "120"))
 STEPS = int(os.environ.get("MACHINE_STEPS", "40"))
 
-MACHINES = [claims.ClaimsMachine, floor.FloorMachine, heads.HeadsMachine]
+MACHINES = [
+    claims.ClaimsMachine,
+    floor.FloorMachine,
+    heads.HeadsMachine,
+    retries.RetryMachine,
+]
 
 
 @pytest.mark.parametrize("machine", MACHINES, ids=lambda machine: machine.__name__)
--- a/tests/machines/plants.py
+++ b/tests/machines/plants.py
@@ -13,7 +13,7 @@
 import hypothesis
 import hypothesis.stateful
 
-from machines import claims, floor, heads
+from machines import claims, floor, heads, retries
 from zinniastand_core import (
     attempt_actions,
     attempts,
@@ -22,6 +22,7 @@
     ejections,
     proposals,
 )
+from zinniastand_core.dispatch import retry_window
 
 EXAMPLES = 2000
 STEPS = 40
@@ -102,6 +103,14 @@
     return _APPLY_SNAPSHOT(own, snapshot)
 
 
+def _look_at_the_last_span(
+    window: typing.Any, requests: list[int], spent: list[int]
+) -> float:
+    parts = retry_window.PARTS
+    busiest = max(sum(requests[-parts:]), sum(requests[:parts]))
+    return retries.BOUND.ratio * busiest - sum(spent[-parts:])
+
+
 _SEND_NEXT = attempts.Plan._send_next
 _TAKE_FAILURE = attempts.Plan.take_failure
 _TAKE_APPENDED = claimer.Claimer.take_appended
@@ -109,6 +118,20 @@
 _APPLY_SNAPSHOT = chain.Chain._apply_snapshot
 
 PLANTS = (
+    Plant(
+        "a counter does not take in what others have given out",
+        retries.RetryMachine,
+        retry_window.RetryWindow,
+        "take",
+        lambda window, count, now: None,
+    ),
+    Plant(
+        "retries are bounded in the span that ends now alone",
+        retries.RetryMachine,
+        retry_window.RetryWindow,
+        "_find_room",
+        _look_at_the_last_span,
+    ),
     Plant(
         "the start deadline is dropped",
         claims.ClaimsMachine,
