--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
@@ -22,8 +22,8 @@
 """The same for one that does not know what others have given out: the one before it
 may have given out its own share just now."""
 
-LONGEST_GAP = 1.5
-"""Spans without an ask or a word from others after which a VM counts as one that has
+LONGEST_GAP = 2.5
+"""Seconds without an ask or a word from others after which a VM counts as one that has
 just begun: whoever may have to dispatch is told whole counts each second."""
 
 MOST_UNTOLD = 0.1
@@ -144,7 +144,7 @@
     def note_active(self, service: str, now: float) -> None:
         """Take in that this VM dispatches a service, or is told of those who do."""
         gap = now - self._active_at.get(service, -math.inf)
-        if gap > LONGEST_GAP * self._budget.window:
+        if gap > LONGEST_GAP:
             self._counting_since[service] = now
             self._told.discard(service)
             first_seen = self._first_seen.setdefault(service, now)
