--- a/bench/retry_fleet.py
+++ b/bench/retry_fleet.py
@@ -601,3 +601,43 @@
 
     def note_error(self, request_id: str, error: Exception) -> None:
         raise error
+
+
+def make_load(vms: int, **changes: object) -> Load:
+    """Return a load that grows with the fleet, and turns half away from 8 s on."""
+    load = Load(
+        vms=vms,
+        count=round(vms * 0.65),
+        slots=3,
+        rate=4.0 * vms,
+        seconds=15.0,
+        shed=Spell(8.0, 14.0, 0.55),
+        bound=retry_audit.Bound(BOUND.ratio, 1.6 * vms, BOUND.span),
+    )
+    return dataclasses.replace(load, **changes)  # type: ignore[arg-type]
+
+
+CASES: dict[str, dict[str, object]] = {
+    "nothing else": {},
+    "a fifth killed at 9.5 s": {"kills": (Kill(9.5, 0.2),)},
+    "a fifth killed, twice": {"kills": (Kill(9.5, 0.2), Kill(12.0, 0.2))},
+    "loads swing by 30%": {"wave": 0.3},
+    "a burst of 1.7 until 8 s": {"surge": Spell(0.0, 8.0, 0.7)},
+}
+
+
+def main() -> None:
+    """Print the busiest span of retries by size of the fleet and what happens."""
+    for vms in (30, 100, 300):
+        for name, changes in CASES.items():
+            found = Fleet(make_load(vms, **changes), 1).play()
+            worst = found.worst
+            print(
+                f"{vms:4} {name:26} {worst.retries:5} of {worst.allowed:6.0f}"
+                f" served {found.served_share:.3f}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
