--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -84,7 +84,19 @@
     if limits:
         names = ["target with a limit", "a second", "busiest seconds"]
         parts.append(output.format_table(names, limits))
-    retries = [
+    parts += _format_retries(found)
+    if found.store_returns:
+        described = summary.describe(found)["store_returns"]
+        names = ["store returned from a copy, era", "first seen", "not served near"]
+        parts.append(output.format_table(names, _list_returns(described)))
+    if calls:
+        parts.append(output.format_table(["call to the store", "", "calls"], calls))
+    return "\n\n".join(parts)
+
+
+def _format_retries(found: account.Account) -> list[str]:
+    """Return a table of the busiest seconds of retries, if there were any."""
+    rows = [
         [
             row.service,
             row.begin,
@@ -94,17 +106,8 @@
         ]
         for row in summary.list_retries(found)
     ]
-    if retries:
-        names = [f"most retries in {summary.RETRY_SPAN} s", "from", "retries"]
-        names += ["requests", "given by"]
-        parts.append(output.format_table(names, retries))
-    if found.store_returns:
-        described = summary.describe(found)["store_returns"]
-        names = ["store returned from a copy, era", "first seen", "not served near"]
-        parts.append(output.format_table(names, _list_returns(described)))
-    if calls:
-        parts.append(output.format_table(["call to the store", "", "calls"], calls))
-    return "\n\n".join(parts)
+    names = [f"most retries in {summary.RETRY_SPAN} s", "from", "retries", "requests"]
+    return [output.format_table([*names, "given by"], rows)] if rows else []
 
 
 def _list_returns(described: object) -> list[list[object]]:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 
 import cbor2
 
@@ -17,7 +16,7 @@
 from zinniastand_core.dispatch import messages, retry_window, shards
 from zinniastand_core.quarantine import suspect
 
-from . import ports, suspect_codec
+from . import ports, retry_codec, suspect_codec
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,10 +292,7 @@
         case Suspects():
             return ["s", suspect_codec.pack(message.items, now)]
         case Retries():
-            counts = [
-                [counter, [list(dataclasses.astuple(part)) for part in parts]]
-                for counter, parts in message.counts
-            ]
+            counts = retry_codec.pack(message.counts)
             return ["t", message.service, counts, message.is_sure]
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
@@ -337,7 +333,7 @@
         case "s":
             return Suspects(suspect_codec.unpack(rest[0], now))
         case "t":
-            counts = tuple((str(name), _unpack_parts(told)) for name, told in rest[1])
+            counts = retry_codec.unpack(rest[1])
             return Retries(str(rest[0]), counts, rest[2] is True)
         case "g":
             return messages.Grant(*rest)
@@ -364,21 +360,6 @@
     return [*fields, opinion.rate_limit, opinion.due_in, opinion.named_ago]
 
 
-def _unpack_parts(value: object) -> tuple[retry_window.Part, ...]:
-    """Return what was counted; counts below zero would allow retries."""
-    if not isinstance(value, list) or len(value) > retry_window.KEPT:
-        raise UnreadableError("no list of counts")
-    parts: list[retry_window.Part] = []
-    for number, ago, requests, retries in value:
-        counts = (number, requests, retries)
-        if not all(type(one) is int and one >= 0 for one in counts):
-            raise UnreadableError("counts that are none")
-        if not 0.0 <= ago < math.inf:
-            raise UnreadableError("a time that is none")
-        parts.append(retry_window.Part(number, float(ago), requests, retries))
-    return tuple(parts)
-
-
 def _unpack_report(fields: list) -> messages.Report:
     ticket, target_id, outcome, took, vm, *told = fields[4:]
     shard = shards.Shard(*fields[:4])
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -353,14 +353,9 @@
         for service in self._desk.list_services():
             counted = self._desk.retries.find_counted(service, now)
             labels = metrics.label(service=service)
-            for name, value in (
-                ("zinniastand_dispatched_requests_total", counted.requests),
-                ("zinniastand_retries_total", counted.retries),
-                ("zinniastand_retries_resent_total", counted.resent),
-                ("zinniastand_retries_returned_total", counted.returned),
-                ("zinniastand_retries_left", counted.left),
-            ):
-                self.metrics.set_gauge(name, value, labels)
+            for field in dataclasses.fields(counted):
+                name = f"zinniastand_retry_{field.name}"
+                self.metrics.set_gauge(name, getattr(counted, field.name), labels)
 
     def _take_suspension(self, seconds: float) -> None:
         """Take in that this VM stood still for longer than its clock says."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
@@ -65,7 +65,7 @@
     requests: int
     """Requests that it was the first to be asked for."""
 
-    retries: int
+    spent: int
     """Retries that it gave out, without those that were returned."""
 
     resent: int
--- a/tests/edge/test_desk.py
+++ b/tests/edge/test_desk.py
@@ -194,7 +194,7 @@
     made.take_retries(datagrams.Retries("desk", counts, is_sure=True), now)
     assert count_retries(made, decisions, "vm-1") == 2
     counted = made.retries.find_counted("desk", now)
-    assert (counted.requests, counted.retries) == (0, 2)
+    assert (counted.requests, counted.spent) == (0, 2)
     assert counted.left < 1.0
 
 
@@ -252,10 +252,10 @@
     made, decisions = make_desk(vms=20)
     count_retries(made, decisions, "vm-1")
     now = anyio.current_time()
-    before = made.retries.find_counted("desk", now).retries
+    before = made.retries.find_counted("desk", now).spent
     assert before
     made.retries.forget_gone(set(), now + 1.0)
-    assert made.retries.find_counted("desk", now + 1.0).retries == before
+    assert made.retries.find_counted("desk", now + 1.0).spent == before
     made.retries.forget_gone(set(), now + 31.0)
     assert not made.retries.count_requests("desk")
 
--- a/tests/edge/test_earned_retries.py
+++ b/tests/edge/test_earned_retries.py
@@ -7,7 +7,7 @@
 import pytest
 import scripted_run
 
-from bench import retry_fleet
+from bench import retry_fleet, retry_loads
 from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
 
@@ -47,9 +47,9 @@
 @pytest.mark.parametrize(
     "changes",
     [
-        {"lag": retry_fleet.Spell(0.0, 20.0, 0.3), "slow": 0.15},
-        {"unreachable": retry_fleet.Spell(2.0, 9.0, 0.5)},
-        {"kills": (retry_fleet.Kill(3.0, 0.2), retry_fleet.Kill(6.0, 0.2))},
+        {"lag": retry_loads.Spell(0.0, 20.0, 0.3), "slow": 0.15},
+        {"unreachable": retry_loads.Spell(2.0, 9.0, 0.5)},
+        {"kills": (retry_loads.Kill(3.0, 0.2), retry_loads.Kill(6.0, 0.2))},
         {"vms": 45, "count": 60, "rate": 300.0},
     ],
     ids=["late answers", "unreachable targets", "kills", "shards"],
@@ -58,7 +58,7 @@
     changes: dict[str, object],
 ) -> None:
     # Guards against retries that one request earns at several dispatchers.
-    load = dataclasses.replace(retry_fleet.Load(seconds=10.0), **changes)  # type: ignore[arg-type]
+    load = dataclasses.replace(retry_loads.Load(seconds=10.0), **changes)  # type: ignore[arg-type]
     fleet = retry_fleet.Fleet(load, 1)
     result = fleet.play()
     assert 0.9 * result.asked < fleet.count_requests() <= result.asked
@@ -66,7 +66,7 @@
 
 def test_request_that_is_refused_has_earned_its_share() -> None:
     # Guards against an overload in which refused requests allow no retries.
-    load = retry_fleet.Load(seconds=8.0, rate=700.0)
+    load = retry_loads.Load(seconds=8.0, rate=700.0)
     fleet = retry_fleet.Fleet(load, 1)
     result = fleet.play()
     assert result.refused["overloaded"] > 0.3 * result.asked
--- a/tests/edge/test_retry_bound.py
+++ b/tests/edge/test_retry_bound.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from bench import retry_fleet
+from bench import retry_fleet, retry_loads
 from zinniastand_standins import retry_audit
 
-SHED = retry_fleet.Spell(8.0, 15.0, 0.55)
-SMALL = retry_fleet.Load(seconds=16.0, shed=SHED)
-LARGE = retry_fleet.Load(
+SHED = retry_loads.Spell(8.0, 15.0, 0.55)
+SMALL = retry_loads.Load(seconds=16.0, shed=SHED)
+LARGE = retry_loads.Load(
     vms=45,
     count=60,
     rate=300.0,
@@ -22,7 +22,7 @@
 )
 
 
-def play(load: retry_fleet.Load, seed: int = 1) -> retry_fleet.Result:
+def play(load: retry_loads.Load, seed: int = 1) -> retry_loads.Result:
     return retry_fleet.Fleet(load, seed).play()
 
 
@@ -31,7 +31,7 @@
     kills: tuple[float, ...],
 ) -> None:
     # Guards against counts that are lost with the VM that dispatched.
-    kinds = tuple(retry_fleet.Kill(at, 0.2) for at in kills)
+    kinds = tuple(retry_loads.Kill(at, 0.2) for at in kills)
     result = play(dataclasses.replace(SMALL, kills=kinds))
     assert result.worst.excess <= 0, result
 
@@ -39,13 +39,13 @@
 @pytest.mark.parametrize(
     "kills",
     [
-        (retry_fleet.Kill(9.5, 1.0, 0.8),),
-        (retry_fleet.Kill(9.5, 0.5, 0.8), retry_fleet.Kill(12.0, 0.5, 0.8)),
+        (retry_loads.Kill(9.5, 1.0, 0.8),),
+        (retry_loads.Kill(9.5, 0.5, 0.8), retry_loads.Kill(12.0, 0.5, 0.8)),
     ],
     ids=["all", "half, twice"],
 )
 def test_dispatcher_that_nobody_tells_gives_out_little(
-    kills: tuple[retry_fleet.Kill, ...],
+    kills: tuple[retry_loads.Kill, ...],
 ) -> None:
     # Guards against counts that are lost since all who knew of them are killed at once.
     for seed in (1, 2, 3):
@@ -55,14 +55,14 @@
 
 def test_dispatchers_that_are_taken_for_lost_give_out_no_retries_twice() -> None:
     # Guards against two dispatchers that count one request each, and each a slack.
-    lag = retry_fleet.Spell(0.0, 20.0, 0.3)
+    lag = retry_loads.Spell(0.0, 20.0, 0.3)
     result = play(dataclasses.replace(SMALL, lag=lag, slow=0.15))
     assert result.worst.excess <= 0, result
 
 
 def test_retries_of_a_burst_are_not_all_given_out_after_it() -> None:
     # Guards against a span of retries that begins when the burst is half over.
-    surge = retry_fleet.Spell(0.0, 8.0, 0.7)
+    surge = retry_loads.Spell(0.0, 8.0, 0.7)
     result = play(dataclasses.replace(SMALL, surge=surge))
     assert result.worst.excess <= 0, result
 
@@ -76,8 +76,8 @@
 
 def test_calm_fleet_is_not_kept_from_retries() -> None:
     # Guards against a bound that is kept by giving up what it allows.
-    failing = retry_fleet.Spell(0.0, 20.0, 0.1)
-    load = dataclasses.replace(SMALL, shed=retry_fleet.NEVER, failing=failing)
+    failing = retry_loads.Spell(0.0, 20.0, 0.1)
+    load = dataclasses.replace(SMALL, shed=retry_loads.NEVER, failing=failing)
     result = play(dataclasses.replace(load, idempotent=1.0))
     assert result.refused["retry-budget"] == 0
     assert result.served_share > 0.97
