--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -70,6 +70,29 @@
     """Whether this dispatcher counted a retry for it."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchSummary:
+    """State of a shard's dispatcher at one moment."""
+
+    targets: int
+    """Number of targets."""
+
+    free: int
+    """Targets with a free slot."""
+
+    paused: int
+    """Targets that get no work for some time."""
+
+    in_flight: int
+    """Slots in use."""
+
+    queued: int
+    """Waiting requests."""
+
+    unservable: int
+    """Waiting requests that exclude all targets."""
+
+
 UNSENT_OUTCOMES = frozenset({messages.Outcome.UNUSED, messages.Outcome.UNREACHABLE})
 """Outcomes of attempts that reached no target."""
 
@@ -119,6 +142,21 @@
         """Number of slots in use."""
         return len(self._grants)
 
+    def summarize(self, now: float) -> DispatchSummary:
+        """Return the state of the dispatcher."""
+        return DispatchSummary(
+            len(self.pool.list_states()),
+            self.pool.count_free(now),
+            self.pool.count_paused(now),
+            len(self._grants),
+            len(self._queue),
+            sum(
+                1
+                for queued in self._queue
+                if self.pool.excludes_all(queued.slot_request.excluded)
+            ),
+        )
+
     def update_targets(
         self, entries: collections.abc.Iterable[targets.Entry], now: float
     ) -> list[messages.Decision]:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -376,6 +376,18 @@
         """Return whether any target has a free slot."""
         return any(state.is_free(now) for state in self._states.values())
 
+    def count_free(self, now: float) -> int:
+        """Return the number of targets that have a free slot."""
+        return sum(1 for state in self._states.values() if state.is_free(now))
+
+    def count_paused(self, now: float) -> int:
+        """Return the number of targets that get no work for some time."""
+        return sum(1 for state in self._states.values() if not state.is_usable(now))
+
+    def excludes_all(self, excluded: collections.abc.Collection[str]) -> bool:
+        """Return whether no target is left for a request that excludes these."""
+        return all(target_id in excluded for target_id in self._states)
+
     def count_proven_slots(self, now: float) -> float:
         """Return the slots of targets that are proven healthy."""
         self._update_sums(now)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -19,6 +19,7 @@
 from . import (
     calls,
     configuration_keeper,
+    dispatch_reporter,
     edge_settings,
     fleet_messenger,
     forwarder,
@@ -232,6 +233,7 @@
             ("greet", self._messenger.greet),
             ("tell suspects", self._suspects.run),
             ("close idle", self._close_idle),
+            ("report dispatching", self._dispatch_reporter.run),
             ("write log", self._log.run),
             ("follow settings", self._follow_settings),
         ]
@@ -305,6 +307,9 @@
             self._deliver,
             settings.is_new_fleet,
         )
+        self._dispatch_reporter = dispatch_reporter.DispatchReporter(
+            self._local_dispatchers, log, self.metrics
+        )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_local_dispatchers(self._local_dispatchers)
         self._suspects = suspect_exchange.SuspectExchange(
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/local_dispatchers.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/local_dispatchers.py
@@ -100,6 +100,16 @@
             if candidate.in_flight
         ]
 
+    def summarize(
+        self, now: float
+    ) -> list[tuple[shards.Shard, dispatcher.DispatchSummary]]:
+        """Return the state of each dispatcher that has slots in use or a queue."""
+        return [
+            (shard, candidate.summarize(now))
+            for shard, candidate in self._dispatchers.items()
+            if candidate.in_flight or candidate.queue_length
+        ]
+
     def list_shards(self, service: str) -> tuple[shards.Shard, ...]:
         """Return the shards into which a service is currently divided."""
         return self._divisions.get(service) or (shards.Shard(service),)
