--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -403,3 +403,42 @@
         assigner.handle_report(message, 0.0)
     grant = find_grant(assigner.request_slot(make_request("x"), 0.0), "x")
     assert grant.expected_duration == pytest.approx(work_times.INITIAL_MEAN_S)
+
+
+def test_targets_that_other_vms_reach_stay_in_use() -> None:
+    # Guards against a group of VMs that cannot reach any target taking all targets out
+    # of service for the VMs that can.
+    assigner = make_dispatcher("abcd", slots=4)
+    now = 0.0
+    for number in range(40):
+        now += 0.05
+        vm = f"cut-{number % 3}"
+        for ticket, sender, outcome in (
+            (f"c{number}", vm, Outcome.UNREACHABLE),
+            (f"o{number}", "other", Outcome.GOOD),
+        ):
+            decisions = assigner.request_slot(make_request(ticket, now), now)
+            [granted] = [item for item in decisions if item.ticket == ticket]
+            assert isinstance(granted, messages.Grant)
+            report(assigner, ticket, granted.target_id, outcome, now + 0.04, sender)
+
+
+def test_target_that_no_vm_reaches_is_paused() -> None:
+    # Guards against sending requests to a target whose host is gone, after two VMs found
+    # that out.
+    assigner = make_dispatcher("abcd", slots=4)
+    for number, vm in enumerate(("vm-1", "vm-2")):
+        ticket = f"u{number}"
+        excluded = ("b", "c", "d")
+        request = make_request(ticket, number * 0.1, excluded=excluded)
+        assigner.request_slot(request, number * 0.1)
+        report(assigner, ticket, "a", Outcome.UNREACHABLE, number * 0.1 + 0.05, vm)
+    assert assigner.summarize(0.3).paused == 1
+
+
+def test_request_that_excludes_all_targets_is_refused_at_once() -> None:
+    # Guards against a queue that fills with requests for which no target can be used.
+    assigner = make_dispatcher("ab")
+    [answer] = assigner.request_slot(make_request("t", excluded=("a", "b")), 0.0)
+    assert isinstance(answer, messages.Refuse)
+    assert answer.reason is messages.RefusalReason.NO_TARGET
