Tell targets that nobody reaches from VMs that reach nobody

Callers saw 503 "overloaded" at VMs in touch with all targets, while other VMs were partitioned from them. Cause: two VMs that fail to connect paused a target for all; every VM of a partition fails at every target. Class: failures that correlate by their reporter.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -96,6 +96,9 @@
 UNSENT_OUTCOMES = frozenset({messages.Outcome.UNUSED, messages.Outcome.UNREACHABLE})
 """Outcomes of attempts that reached no target."""
 
+CONTACT_OUTCOMES = frozenset({messages.Outcome.GOOD, messages.Outcome.SHED})
+"""Outcomes that prove that the VM can reach the target."""
+
 
 class Dispatcher:
     """The dispatcher of one shard.
@@ -333,6 +336,8 @@
         report: messages.Report,
         now: float,
     ) -> None:
+        if report.outcome in CONTACT_OUTCOMES:
+            self.pool.record_contact(state, report.vm)
         match report.outcome:
             case messages.Outcome.GOOD:
                 state.update_failure_estimate(failed=False, now=now)
@@ -348,7 +353,7 @@
             case messages.Outcome.SHED:
                 state.record_shed(now)
             case messages.Outcome.UNREACHABLE:
-                state.record_unreachable(report.vm, now)
+                self.pool.record_unreachable(state, report.vm, now)
             case messages.Outcome.MISPLACED:
                 state.record_misplaced(now)
             case messages.Outcome.ABANDONED | messages.Outcome.UNUSED:
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -19,7 +19,14 @@
 import math
 
 from ..deployment import targets
-from . import failure_estimates, mechanisms, messages, rate_limit, work_times
+from . import (
+    failure_estimates,
+    mechanisms,
+    messages,
+    rate_limit,
+    reachability,
+    work_times,
+)
 
 LATE_COST = 0.2
 """Cost of a late answer relative to a failed one. A late answer still serves its
@@ -82,16 +89,13 @@
 one of its slots becomes free."""
 
 UNREACHABLE_PAUSE_S = 1.0
-"""Seconds for which a target that several VMs cannot reach gets no work."""
+"""Seconds for which a target that several VMs cannot reach gets no work, unless a VM
+gets an answer of it."""
 
 MISPLACED_PAUSE_S = 3.0
 """Seconds for which a target gets no work after another target answered at its address.
 By then its entry has been removed, or it has registered its new address."""
 
-MIN_UNREACHABLE_VMS = 2
-"""VMs that must fail to connect before a target counts as unreachable for all. A single
-VM may itself be cut off."""
-
 SUMMARY_CACHE_S = 0.05
 """Seconds for which sums over all targets are cached. They change slowly, and computing
 them for each slot request would take much of a busy dispatcher's processor time."""
@@ -154,7 +158,7 @@
         self._granted_at = now
         self._paused_until = 0.0
         self._next_trial_at = 0.0
-        self._unreachable_until: dict[str, float] = {}
+        self._unreachable_until = 0.0
         self._estimates_valid_until = 0.0
         self._request_failure_probability = 0.0
         self._failing_probability = 0.0
@@ -164,7 +168,7 @@
         """Return whether it can take one more request now."""
         if self.limit is not None and not self.limit.allows_request(now):
             return False
-        return len(self.tickets) < self.entry.slots and now >= self._paused_until
+        return len(self.tickets) < self.entry.slots and now >= self._find_pause_end()
 
     def lift_limit(self, sent_at: float) -> None:
         """Lift the limit, as the answer to a request sent at `sent_at` announces none.
@@ -188,7 +192,10 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether it accepts work now or after a short pause."""
-        return now >= self._paused_until or self._paused_until - now <= SHED_PAUSE_S
+        return self._find_pause_end() - now <= SHED_PAUSE_S
+
+    def _find_pause_end(self) -> float:
+        return max(self._paused_until, self._unreachable_until)
 
     def find_request_failure_probability(self, now: float) -> float:
         """Return the probability that it fails a request sent now."""
@@ -266,15 +273,13 @@
         """Record that another target answers at its address."""
         self._paused_until = max(self._paused_until, now + MISPLACED_PAUSE_S)
 
-    def record_unreachable(self, vm: str, now: float) -> None:
-        """Record that a VM could not connect to it."""
-        self._unreachable_until[vm] = now + UNREACHABLE_PAUSE_S
-        recent_vms = [
-            name for name, until in self._unreachable_until.items() if until > now
-        ]
-        if len(recent_vms) >= MIN_UNREACHABLE_VMS:
-            self._paused_until = now + UNREACHABLE_PAUSE_S
-            self._unreachable_until.clear()
+    def record_unreachable(self, now: float) -> None:
+        """Record that no VM can connect to it."""
+        self._unreachable_until = now + UNREACHABLE_PAUSE_S
+
+    def record_contact(self) -> None:
+        """Record that it answered a VM, so that it can be reached."""
+        self._unreachable_until = 0.0
 
 
 class Pool:
@@ -297,6 +302,7 @@
         self.rates = failure_estimates.FailureRates()
         self._kinds = kinds
         self._states: dict[str, TargetState] = {}
+        self._reachability = reachability.Reachability()
         self._sums_valid_until = 0.0
         self._capacity = 0.0
         self._proven_slots = 0.0
@@ -321,8 +327,19 @@
             state.entry = entry
             states[entry.target_id] = state
         self._states = states
+        self._reachability.keep_only(set(states))
         self._sums_valid_until = 0.0
 
+    def record_unreachable(self, state: TargetState, vm: str, now: float) -> None:
+        """Record that a VM could not connect to a target."""
+        if self._reachability.record_failure(state.entry.target_id, vm, now):
+            state.record_unreachable(now)
+
+    def record_contact(self, state: TargetState, vm: str) -> None:
+        """Record that a VM got an answer of a target."""
+        self._reachability.record_contact(state.entry.target_id, vm)
+        state.record_contact()
+
     def find(self, target_id: str) -> TargetState | None:
         """Return the state of a target, or None if it is not in the pool."""
         return self._states.get(target_id)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -424,8 +424,7 @@
 
 
 def test_target_that_no_vm_reaches_is_paused() -> None:
-    # Guards against sending requests to a target whose host is gone, after two VMs found
-    # that out.
+    # Guards against sending more requests to a target whose host is gone.
     assigner = make_dispatcher("abcd", slots=4)
     for number, vm in enumerate(("vm-1", "vm-2")):
         ticket = f"u{number}"
--- a/tests/edge/test_lost_links.py
+++ b/tests/edge/test_lost_links.py
@@ -12,8 +12,8 @@
 pytestmark = pytest.mark.anyio
 
 MIN_SHARE_OF_OTHERS = 0.9
-"""First attempts at partitioned VMs are served at least this often, relative to those at
-the other VMs."""
+"""First attempts at partitioned VMs are served at least this often, relative to those
+at the other VMs."""
 
 MIN_SHARE_OF_BEFORE = 0.97
 """First attempts at the other VMs are served at least this often, relative to the time
