Refuse a request at once if it excludes all targets

Its caller waited in the queue until it was too late, and its work counted as ahead of that of others. Cause: only a shard without any target refused at once.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -181,7 +181,7 @@
             return [self._make_repeated_grant(grant, now)]
         if self._queue.holds(slot_request.ticket):
             return [messages.Wait(slot_request.ticket)]
-        if self.pool.is_empty():
+        if self.pool.excludes_all(slot_request.excluded):
             return [self._refuse(slot_request, messages.RefusalReason.NO_TARGET, now)]
         if slot_request.attempt > 1 and not self._retries.reserve(now):
             return [
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/pool.py
@@ -348,10 +348,6 @@
         """Return the states of all targets."""
         return list(self._states.values())
 
-    def is_empty(self) -> bool:
-        """Return whether there are no targets."""
-        return not self._states
-
     def find_best(
         self,
         slot_request: messages.SlotRequest,
