Reach targets over another VM where the own links are lost

Callers of VMs that were partitioned from all targets saw 503 or waited in vain: first attempts there were served in 24 of 511 cases, at the other VMs in 110 of 272. Cause: a VM tried one target after the other over its own links, left each out for two seconds, and had no other way. Class: a single path between the one who is asked and those who can answer. A VM that fails at two targets of a service in turn connects to two more; if these fail too, its links are lost, and it opens connections over a VM that has links: one hop, own data centre first, bounded, refused at once by a VM without links. Only connections are relayed, so slots, retries, deadlines and what may run twice stay with the VM that was asked. A relay that dies does not look like the end of an answer. Every half second a target is connected to, until one answers.

--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/causes.py
@@ -82,6 +82,10 @@
 }
 
 
+UNSENT_OUTCOMES = frozenset({"unreachable", "unused"})
+"""Outcomes of attempts that sent nothing to a target."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt at a target, from its log line."""
@@ -128,6 +132,9 @@
     end_second: int = 0
     """Unix time of its end, in whole seconds."""
 
+    relay: str = ""
+    """VM that relayed its connection; empty for a direct one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -187,7 +194,7 @@
 def _find_refusal_cause(answer: Answer, attempts: tuple[Attempt, ...]) -> Cause:
     if answer.why in REFUSAL_CAUSES or not attempts:
         return REFUSAL_CAUSES.get(answer.why, Cause.REFUSED_OTHER)
-    if all(attempt.outcome == "unreachable" for attempt in attempts):
+    if all(attempt.outcome in UNSENT_OUTCOMES for attempt in attempts):
         return Cause.NO_PATH
     return Cause.ALL_TURNED_AWAY
 
@@ -204,10 +211,10 @@
         return Cause.NO_RETRY_LEFT
     if not not_turned_away:
         return Cause.DEADLINE
-    if all(attempt.outcome == "unreachable" for attempt in not_turned_away):
+    if all(attempt.outcome in UNSENT_OUTCOMES for attempt in not_turned_away):
         return Cause.NO_PATH
     reached = [
-        attempt for attempt in not_turned_away if attempt.outcome != "unreachable"
+        attempt for attempt in not_turned_away if attempt.outcome not in UNSENT_OUTCOMES
     ]
     last = reached[-1]
     if last.outcome == "silent":
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/commands.py
@@ -88,6 +88,7 @@
         names = ["target with a rate limit", "per second", "busiest seconds"]
         sections.append(output.format_table(names, limits))
     sections += _format_retries(totals)
+    sections += _format_links(totals)
     if totals.store_returns:
         described = summary.describe(totals)["store_returns"]
         names = ["store returned from a copy, era", "first seen", "not served near"]
@@ -118,6 +119,21 @@
     return [output.format_table([*names, "granted by"], rows)] if rows else []
 
 
+def _format_links(totals: request_totals.RequestTotals) -> list[str]:
+    """Return a table of the VMs without links to targets, if there were any."""
+    rows = [
+        [
+            row.vm,
+            ", ".join(f"{name} {count}" for name, count in row.lost.items()),
+            row.relayed,
+            row.relays,
+        ]
+        for row in summary.list_links(totals)
+    ]
+    names = ["VM without links", "lost links to", "relayed attempts", "relays"]
+    return [output.format_table(names, rows)] if rows else []
+
+
 def _list_store_returns(described: object) -> list[list[object]]:
     if not isinstance(described, dict):
         return []
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/request_totals.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/request_totals.py
@@ -17,9 +17,6 @@
 MAX_NAMES = 20_000
 """Maximum number of targets, and of fingerprints, that are counted individually."""
 
-UNSENT_OUTCOMES = frozenset({"unreachable", "unused"})
-"""Outcomes of attempts that did not reach a target."""
-
 MS_PER_S = 1000.0
 
 ResultKey = tuple[causes.Result, causes.Cause | None]
@@ -105,6 +102,10 @@
     retries : dict
         Attempts beyond the first of their request, by the second of their start and the
         dispatcher that granted the slot, for each service.
+    relayed : Counter
+        Attempts over relayed connections, by the VM that used and the one that relayed.
+    lost_links : Counter
+        How often a VM lost its links to a service, by VM and service.
     retried_requests : int
         Answered requests with more than one attempt.
     unanswered : int
@@ -133,6 +134,8 @@
         self.crashes: dict[str, CrashTotals] = {}
         self.arrivals: dict[str, collections.Counter[int]] = {}
         self.retries: dict[str, collections.Counter[tuple[int, str]]] = {}
+        self.relayed: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.lost_links: collections.Counter[tuple[str, str]] = collections.Counter()
         self.retried_requests = 0
         self.unanswered = 0
         self.lines_dropped = 0
@@ -177,6 +180,8 @@
                 )
                 earliest = self.store_returns.get(era, timestamp)
                 self.store_returns[era] = min(timestamp, earliest)
+            case "links_lost":
+                self.lost_links[record["vm"], str(record.get("service", ""))] += 1
             case "configuration_in_force":
                 version = int(read_number(record, "version"))
                 timestamp = read_number(record, "time")
@@ -193,6 +198,8 @@
         self._count_target(attempt)
         self._count_retry(attempt)
         self._count_crash(attempt)
+        if attempt.relay:
+            self.relayed[record["vm"], attempt.relay] += 1
         key = (record["vm"], str(record.get("request")))
         self._open_attempts[key] = (*self._open_attempts.get(key, ()), attempt)
         while len(self._open_attempts) > MAX_OPEN_REQUESTS:
@@ -223,7 +230,7 @@
 
         Attempts that did not reach a target do not count.
         """
-        if attempt.number < 2 or attempt.outcome in UNSENT_OUTCOMES:
+        if attempt.number < 2 or attempt.outcome in causes.UNSENT_OUTCOMES:
             return
         sent_second = attempt.end_second - int(attempt.duration_ms / MS_PER_S)
         by_dispatcher = self.retries.setdefault(attempt.service, collections.Counter())
@@ -285,6 +292,7 @@
         has_crashed=record.get("crashed") is True,
         rate_limit=read_number(record, "limit") if "limit" in record else None,
         end_second=int(read_number(record, "time")),
+        relay=str(record.get("relay", "")),
     )
 
 
--- a/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
+++ b/packages/zinniastand-ctl/src/zinniastand_ctl/explain/summary.py
@@ -117,6 +117,23 @@
     """Retries by the VM whose dispatcher granted the slot, at most `MAX_ROWS` VMs."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkRow:
+    """Lost links and relayed attempts of one VM."""
+
+    vm: str
+    """Name of the VM."""
+
+    lost: dict[str, int]
+    """How often it lost its links to all targets of a service, by service."""
+
+    relayed: int
+    """Attempts over connections that other VMs relayed."""
+
+    relays: int
+    """VMs that relayed them."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
     """Counts of one cause in two runs."""
@@ -196,6 +213,24 @@
     ]
 
 
+def list_links(totals: request_totals.RequestTotals) -> list[LinkRow]:
+    """Return the VMs that lost their links to a service, or used relays."""
+    rows = [
+        LinkRow(
+            vm,
+            {
+                service: count
+                for (name, service), count in sorted(totals.lost_links.items())
+                if name == vm
+            },
+            sum(count for (name, _), count in totals.relayed.items() if name == vm),
+            sum(1 for name, _ in totals.relayed if name == vm),
+        )
+        for vm in sorted({name for name, _ in (*totals.lost_links, *totals.relayed)})
+    ]
+    return sorted(rows, key=lambda row: -row.relayed)[:MAX_ROWS]
+
+
 def _find_busiest_retries(
     totals: request_totals.RequestTotals, service: str
 ) -> RetryRow:
@@ -265,6 +300,7 @@
         "by_data_centre": _stringify_keys(totals.by_data_centre),
         "by_vm": _stringify_keys(totals.by_vm),
         "retries": [dataclasses.asdict(row) for row in list_retries(totals)],
+        "links": [dataclasses.asdict(row) for row in list_links(totals)],
         "limits": [dataclasses.asdict(row) for row in list_limits(totals)],
         "crashes": [dataclasses.asdict(row) for row in list_crashes(totals)],
         "targets": [dataclasses.asdict(row) for row in list_targets(totals)],
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -57,6 +57,9 @@
     is_resent: bool = False
     """Whether the request was resent because a reused connection broke."""
 
+    relay: str = ""
+    """VM that relayed the connection; empty for a direct one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoggedRequest:
@@ -115,5 +118,6 @@
             number=slot.request.attempt,
             has_crashed=end.has_crashed,
             rate_limit=end.rate_limit,
+            relay=end.relay,
         )
     )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import errno
-
 import anyio
-import anyio.abc
 
 from zinniastand_core.deployment import targets
 
+from . import target_connector
+
 CONNECT_TIMEOUT_S = 0.25
 """Seconds to wait for a connection. The host of a crashed process refuses it at once,
 which a busy VM sees some hundredths of a second later. A missing reply proves nothing,
@@ -72,16 +71,6 @@
     except TimeoutError:
         return False
     except OSError as error:
-        return _is_refusal(error)
+        return target_connector.is_refusal(error)
     await anyio.aclose_forcefully(stream)
     return False
-
-
-def _is_refusal(error: OSError) -> bool:
-    """Return whether a connect error means that no process listens on the port."""
-    cause: BaseException | None = error
-    while cause is not None:
-        if getattr(cause, "errno", None) == errno.ECONNREFUSED:
-            return True
-        cause = cause.__cause__
-    return False
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -13,6 +13,7 @@
 
 from zinniastand_core.deployment import configuration, routing, targets
 from zinniastand_core.dispatch import messages
+from zinniastand_core.forwarding import target_links
 from zinniastand_core.quarantine import quarantine
 
 from .. import metrics
@@ -25,15 +26,18 @@
     forwarder,
     header_names,
     http_server,
-    knowledge_exchange,
     knowledge_keeper,
     local_dispatchers,
     log_lines,
     members,
     pages,
     peer_link,
+    peer_server,
     placement,
     ports,
+    relay_client,
+    relay_server,
+    relaying_connector,
     resignation,
     stopping,
     supervision,
@@ -117,6 +121,7 @@
         self._is_stopping = True
         self._messenger.is_leaving = True
         self._caller_server.is_stopping = True
+        self._relay_server.is_stopping = True
         self._forwarder.end_by(answer_by)
         self._log.write(
             "stopping",
@@ -233,6 +238,7 @@
             ("greet", self._messenger.greet),
             ("tell suspects", self._suspects.run),
             ("close idle", self._close_idle),
+            ("watch links", self._direct_connector.watch),
             ("report dispatching", self._dispatch_reporter.run),
             ("write log", self._log.run),
             ("follow settings", self._follow_settings),
@@ -240,8 +246,9 @@
 
     async def _serve_knowledge(self) -> None:
         peers = self._settings.peers
-        make_own_snapshot = self._keeper.make_snapshot
-        await knowledge_exchange.serve(peers.host, peers.port, make_own_snapshot)
+        await peer_server.serve(
+            peers.host, peers.port, self._keeper.make_snapshot, self._relay_server
+        )
 
     def _build(self) -> None:
         own = self._build_fleet()
@@ -265,7 +272,8 @@
             self._fleet, self._link, receivers, self._log, self._report_fault
         )
         self._local_dispatchers.retries.use_announcer(self._messenger.send_retry_counts)
-        self._client = target_client.TargetClient(self._platform_headers)
+        connector = self._build_connector()
+        self._client = target_client.TargetClient(self._platform_headers, connector)
         self._suspension = suspension.SuspensionWatch(self._handle_suspension)
         dependencies = forwarder.Dependencies(
             routing_state,
@@ -283,6 +291,19 @@
         )
         self._build_servers(self._forwarder)
 
+    def _build_connector(self) -> relaying_connector.RelayingConnector:
+        self._links = target_links.TargetLinks()
+        self._direct_connector = relaying_connector.WatchedConnector(
+            self._links, self._registry, self._log, self._rng
+        )
+        self._relay_server = relay_server.RelayServer(
+            self._fleet, self._registry, self._direct_connector, self._log
+        )
+        self._relays = relay_client.RelayClient(self._fleet, self._rng)
+        return relaying_connector.RelayingConnector(
+            self._direct_connector, self._relays
+        )
+
     def _build_fleet(self) -> ports.Member:
         """Build what takes part in the fleet; return the entry of this VM."""
         settings, log = self._settings, self._log
@@ -377,10 +398,25 @@
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
             self.metrics.set_gauge(name, value)
+        self._set_relay_metrics()
         self._set_retry_metrics()
         body = self.metrics.format_text().encode()
         return calls.Reply(200, [(b"content-type", b"text/plain")], body)
 
+    def _set_relay_metrics(self) -> None:
+        """Set the metrics of lost links and of relayed connections."""
+        for name, value in (
+            ("zinniastand_links_lost", len(self._links.lost_targets)),
+            ("zinniastand_services_without_links", len(self._links.lost_services)),
+            ("zinniastand_relays_in_flight", self._relay_server.in_flight),
+            ("zinniastand_relays_carried_total", self._relay_server.relayed),
+            ("zinniastand_relays_used_total", self._relays.used),
+        ):
+            self.metrics.set_gauge(name, value)
+        for reason, count in self._relay_server.refused.items():
+            labels = metrics.label(reason=reason.value)
+            self.metrics.set_gauge("zinniastand_relays_refused_total", count, labels)
+
     def _set_retry_metrics(self) -> None:
         """Set the metrics of the retry totals of each service."""
         now = anyio.current_time()
@@ -422,6 +458,10 @@
         """Announce to the others that this VM is leaving."""
         self._messenger.announce_leaving()
 
+    def count_relayed(self) -> int:
+        """Return the number of connections that this VM relays for others."""
+        return self._relay_server.in_flight
+
     async def _wake_local_dispatchers(self) -> None:
         while True:
             due_at = anyio.current_time() + DISPATCH_INTERVAL_S
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/knowledge_exchange.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 
 import anyio
@@ -42,31 +41,13 @@
     """The targets."""
 
 
-async def serve(
-    host: str, port: int, make_snapshot: collections.abc.Callable[[], Snapshot]
-) -> None:
-    """Send a snapshot to each VM that connects, until cancelled.
-
-    Parameters
-    ----------
-    host, port : str, int
-        Address to listen at, over TCP.
-    make_snapshot : callable
-        Returns what this VM knows.
-    """
-
-    async def _answer(stream: anyio.abc.SocketStream) -> None:
-        async with stream:
-            with anyio.move_on_after(FETCH_TIMEOUT_S):
-                try:
-                    await stream.send(encode(make_snapshot(), anyio.current_time()))
-                except anyio.BrokenResourceError:
-                    return  # The peer closed the connection; it will ask another VM.
-
-    async with await anyio.create_tcp_listener(
-        local_host=host, local_port=port
-    ) as listener:
-        await listener.serve(_answer)
+async def send_snapshot(stream: anyio.abc.ByteStream, snapshot: Snapshot) -> None:
+    """Send a snapshot to a VM that asked for it."""
+    with anyio.move_on_after(FETCH_TIMEOUT_S):
+        try:
+            await stream.send(encode(snapshot, anyio.current_time()))
+        except anyio.BrokenResourceError:
+            return  # The peer closed the connection; it will ask another VM.
 
 
 async def fetch(host: str, port: int) -> Snapshot | None:
@@ -83,6 +64,7 @@
     try:
         with anyio.fail_after(FETCH_TIMEOUT_S):
             async with await anyio.connect_tcp(host, port) as stream:
+                await stream.send_eof()
                 async for chunk in stream:
                     data += chunk
                     if len(data) > MAX_SNAPSHOT_BYTES:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -186,6 +186,12 @@
         """Return all other VMs, including suspected ones."""
         return [other for other in self._members.values() if other.vm != self.own.vm]
 
+    def list_active(self, now: float) -> list[ports.Member]:
+        """Return the other VMs that are reachable and not leaving."""
+        return [
+            other for other in self.list_others() if self._is_reachable(other.vm, now)
+        ]
+
     def list_suspects(self, now: float) -> list[ports.Member]:
         """Return the VMs that did not answer and those that never sent a message.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_recorder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_recorder.py
@@ -58,6 +58,9 @@
     """Rate limit announced in the target's answer, in requests per second; infinite if
     the answer announces none, None if there is no answer or its limit is malformed."""
 
+    relay: str = ""
+    """VM that relayed the connection; empty for a direct one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerRecord:
@@ -166,10 +169,12 @@
 
 
 def _make_target_fields(attempt: AttemptRecord) -> dict[str, log_lines.Value]:
-    """Return the log fields for a crash or a rate limit of the target, if any."""
+    """Return the log fields for a crash, a rate limit or a relay, if any."""
     fields: dict[str, log_lines.Value] = {}
     if attempt.has_crashed:
         fields["crashed"] = True
     if attempt.rate_limit is not None and attempt.rate_limit < math.inf:
         fields["limit"] = attempt.rate_limit
+    if attempt.relay:
+        fields["relay"] = attempt.relay
     return fields
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -260,14 +260,18 @@
         """Send to one target, report and record the end, and return the next step."""
         started_at = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
-        has_crashed, is_resent, rate_limit = False, False, None
+        has_crashed, is_resent, rate_limit, relay = False, False, None, ""
         self._dependencies.suspects.begin_attempt(self._fingerprint, started_at)
         try:
             attempt = await self._send(target, started_at)
             outcome, why = attempt_ends.OUTCOMES[attempt.result], attempt.detail
+            if attempt.is_own_path:
+                outcome = messages.Outcome.UNUSED
             is_resent, rate_limit = attempt.is_resent, attempt.rate_limit
+            relay = attempt.relay
             cut_at = anyio.current_time()
-            has_crashed = attempt.is_cut and await self._dependencies.is_down(
+            may_have_crashed = attempt.is_cut and not attempt.relay
+            has_crashed = may_have_crashed and await self._dependencies.is_down(
                 target, cut_at
             )
             if has_crashed:
@@ -282,7 +286,13 @@
                 self._plan.abandon_attempt()
                 outcome, why = self._classify_cancellation(now, overdue_at)
             end = attempt_ends.AttemptEnd(
-                outcome, why, now - started_at, has_crashed, rate_limit, is_resent
+                outcome,
+                why,
+                now - started_at,
+                has_crashed,
+                rate_limit,
+                is_resent,
+                relay,
             )
             attempt_ends.report(self._dependencies, slot, end)
             attempt_ends.record(self._dependencies, self._logged_request, slot, end)
@@ -316,12 +326,14 @@
     def _handle_end(
         self, attempt: target_client.Attempt, target: targets.Entry, now: float
     ) -> plan.NextStep:
-        if attempt.result is plan.AttemptResult.UNREACHABLE:
+        if attempt.excludes_target:
             self._dependencies.unreachable.record(target.target_id, now)
         if not self._plan.is_answered:
             self._why = attempt.detail
             self._answer = attempt.answer or self._answer
-        return self._plan.end_attempt(attempt.result, now)
+        step = self._plan.end_attempt(attempt.result, now)
+        # Other targets cannot be reached either.
+        return self._plan.give_up() if attempt.is_own_path else step
 
     def _classify_cancellation(
         self, now: float, overdue_at: float
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/stopping.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/stopping.py
@@ -88,6 +88,10 @@
         """Announce to the others that this VM is leaving."""
         ...
 
+    def count_relayed(self) -> int:
+        """Return the number of connections that this VM relays for others."""
+        ...
+
 
 async def stop(
     vm: StoppingVm,
@@ -115,11 +119,15 @@
     # were answered are idle now.
     for _ in range(2):
         await supervision.attempt_async("close idle", callers.close_idle, report_fault)
-        await _wait_until_answered(callers, answer_by + MAX_WRITE_TIME_S)
+        await _wait_until_answered(vm, callers, answer_by + MAX_WRITE_TIME_S)
     duration = anyio.current_time() - began_at
     return StopSummary(callers.in_flight, callers.count_receiving(), duration)
 
 
-async def _wait_until_answered(caller_server: CallerServer, end: float) -> None:
-    while caller_server.has_unfinished_work() and anyio.current_time() < end:
+async def _wait_until_answered(
+    vm: StoppingVm, callers: CallerServer, end: float
+) -> None:
+    while (
+        callers.has_unfinished_work() or vm.count_relayed()
+    ) and anyio.current_time() < end:
         await anyio.sleep(POLL_INTERVAL_S)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -8,7 +8,6 @@
 import math
 import re
 import select
-import socket
 
 import anyio
 import anyio.abc
@@ -17,16 +16,7 @@
 from zinniastand_core.deployment import targets
 from zinniastand_core.forwarding import plan
 
-from . import header_names, http_exchange
-
-CONNECT_TIMEOUT_S = 0.15
-"""Seconds allowed for opening a connection. That takes about a millisecond, and a lost
-SYN packet is retransmitted only after a second, so trying another target is faster than
-waiting longer."""
-
-STALL_THRESHOLD_S = 0.05
-"""Seconds by which a timer must fire late to show that this process was suspended.
-Timers of a busy process are some milliseconds late."""
+from . import header_names, http_exchange, target_connector
 
 AT_MOST_ONCE_REUSE_TIMEOUT_S = 0.8
 """Seconds after an answer during which a connection may carry a request that may run
@@ -55,9 +45,10 @@
 reports an error: a reset takes one round trip, and a busy process handles it some
 hundredths of a second later."""
 
-USER_TIMEOUT_MS = 3_000
-"""Milliseconds after which the kernel closes a connection whose sent data is not
-acknowledged (TCP_USER_TIMEOUT), so that a silent one frees its socket."""
+DEFAULT_TIME_LEFT_S = 60.0
+"""Seconds for which a connection may be needed for a request that states no time."""
+
+MS_PER_S = 1000.0
 
 UNPOOLED_METHOD = b"HEAD"
 """Method for which connections are not pooled. Its answers end after their head,
@@ -105,6 +96,15 @@
     is_resent: bool = False
     """Whether the request was sent a second time because a pooled connection failed."""
 
+    relay: str = ""
+    """VM that relayed the connection; empty for a direct one."""
+
+    is_own_path: bool = False
+    """Whether no connection was opened since this VM has no path to any target."""
+
+    excludes_target: bool = False
+    """Whether this VM should not try the target again for some time."""
+
     @property
     def is_success(self) -> bool:
         """Whether the target answered with a success status."""
@@ -124,6 +124,9 @@
     idle_until: float = 0.0
     """When its idle timeout ends, after which it carries no further request."""
 
+    relay: str = ""
+    """VM that relays it; empty for a direct connection."""
+
     @property
     def is_new(self) -> bool:
         """Whether it has carried no request yet."""
@@ -150,11 +153,11 @@
     ----------
     names : header_names.HeaderNames
         Header names of the platform.
+    connector : target_connector.TargetConnector, optional
+        Opens connections; by default direct ones.
 
     Attributes
     ----------
-    opened_connections : int
-        Number of attempts to open a connection.
     foreign_answers : int
         Number of answers to other requests that were skipped.
     malformed_limits : int
@@ -164,14 +167,23 @@
         as the answer to the current request, which nothing proves.
     """
 
-    def __init__(self, names: header_names.HeaderNames) -> None:
+    def __init__(
+        self,
+        names: header_names.HeaderNames,
+        connector: target_connector.TargetConnector | None = None,
+    ) -> None:
         self._header_names = names
+        self._connector = connector or target_connector.DirectConnector()
         self._idle: dict[str, collections.deque[_TargetConnection]] = {}
-        self.opened_connections = 0
         self.foreign_answers = 0
         self.unidentified_answers = 0
         self.malformed_limits = 0
 
+    @property
+    def opened_connections(self) -> int:
+        """Number of attempts to open a direct connection."""
+        return self._connector.opened_connections
+
     async def attempt(
         self,
         target: targets.Entry,
@@ -197,9 +209,16 @@
         Attempt
             The outcome. Failures of the target or connection are outcomes, not errors.
         """
-        connection = await self._acquire(target, request, work)
-        if connection is None:
-            return Attempt(plan.AttemptResult.UNREACHABLE, None, "no connection")
+        try:
+            connection = await self._acquire(target, request, work)
+        except target_connector.UnreachableError as error:
+            return Attempt(
+                plan.AttemptResult.UNREACHABLE,
+                None,
+                str(error),
+                is_own_path=error.is_own_path,
+                excludes_target=error.excludes_target,
+            )
         is_reused = not connection.is_new
         mark_sent()
         attempt = await self._exchange(target, connection, request)
@@ -222,8 +241,9 @@
         An answer "not run" to the second sending does not prove that the first has not
         run.
         """
-        connection = await self._connect(target)
-        if connection is None:
+        try:
+            connection = await self._connect(target, request)
+        except target_connector.UnreachableError:
             detail = f"{first.detail}, then no connection"
             return dataclasses.replace(first, detail=detail)
         attempt = await self._exchange(target, connection, request)
@@ -280,13 +300,14 @@
             ):
                 self.unidentified_answers += 1
             is_pooled = (
-                attempt.result is not plan.AttemptResult.BROKEN
+                not connection.relay
+                and attempt.result is not plan.AttemptResult.BROKEN
                 and answer.is_reusable
                 and request.method != UNPOOLED_METHOD
             )
             if is_pooled:
                 await self._return_to_pool(target, connection, answer)
-            return attempt
+            return dataclasses.replace(attempt, relay=connection.relay)
         except http_exchange.BrokenAnswerError as error:
             is_late = anyio.current_time() > stale_until
             has_begun = exchange.has_answer_begun or is_late
@@ -296,6 +317,7 @@
                 str(error),
                 may_have_begun=has_begun,
                 is_cut=error.is_cut,
+                relay=connection.relay,
             )
         finally:
             self.foreign_answers += exchange.foreign_answers
@@ -369,44 +391,35 @@
         target: targets.Entry,
         request: http_exchange.Request,
         work: services.Work,
-    ) -> _TargetConnection | None:
-        if request.method == UNPOOLED_METHOD:
-            return await self._connect(target)
+    ) -> _TargetConnection:
+        is_direct = self._connector.has_direct_link(target)
+        if request.method == UNPOOLED_METHOD or not is_direct:
+            return await self._connect(target, request)
         now = anyio.current_time()
         idle = self._idle.get(target.target_id)
         while idle and (connection := idle[-1]).is_usable(now):
             if not connection.may_carry(work, now):
                 # The other connections are older still. They stay in the pool, for
                 # idempotent requests.
-                return await self._connect(target)
+                return await self._connect(target, request)
             idle.pop()
             if not _has_input(connection.stream):
                 return connection
             await _close(connection)
-        return await self._connect(target)
-
-    async def _connect(self, target: targets.Entry) -> _TargetConnection | None:
-        """Return a new connection, or None if the target cannot be reached.
-
-        A timeout that fires late shows that this process was suspended, and nothing
-        about the target. One more try keeps healthy targets from being excluded.
-        """
-        stalled_after = anyio.current_time() + CONNECT_TIMEOUT_S + STALL_THRESHOLD_S
-        connection = await self._open_connection(target)
-        if connection is None and anyio.current_time() > stalled_after:
-            return await self._open_connection(target)
-        return connection
-
-    async def _open_connection(self, target: targets.Entry) -> _TargetConnection | None:
-        self.opened_connections += 1
-        try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(target.host, target.port)
-        except (OSError, TimeoutError):
-            return None
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        return _TargetConnection(stream)
+        return await self._connect(target, request)
+
+    async def _connect(
+        self, target: targets.Entry, request: http_exchange.Request
+    ) -> _TargetConnection:
+        """Return a new connection; raise `UnreachableError` if there is none."""
+        time_left = self._read_time_left(request)
+        opened = await self._connector.connect(target, time_left)
+        return _TargetConnection(opened.stream, relay=opened.relay)
+
+    def _read_time_left(self, request: http_exchange.Request) -> float:
+        """Return the seconds that a request states as left."""
+        value = http_exchange.find_header(request.headers, self._header_names.time_left)
+        return int(value) / MS_PER_S if value is not None else DEFAULT_TIME_LEFT_S
 
 
 def _read_idle_timeout(answer: http_exchange.Answer) -> float:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -12,6 +12,7 @@
 from zinniastand_ctl import cli
 from zinniastand_ctl.explain import (
     causes,
+    commands,
     log_reader,
     request_totals,
     summary,
@@ -326,3 +327,19 @@
         totals.add_record(json.loads(make_attempt("good", request=f"r{number}")))
     totals.finish()
     assert totals.unanswered == 100
+
+
+def test_vms_without_links_are_listed_with_their_relayed_attempts() -> None:
+    # Guards against a partition that shows only as slower answers.
+    totals = request_totals.RequestTotals()
+    lost = {"time": 100.0, "vm": "vm-1", "event": "links_lost", "service": "desk"}
+    totals.add_record(lost)
+    for relay in ("vm-2", "vm-2", "vm-3"):
+        totals.add_record(json.loads(make_attempt("good", relay=relay)))
+    assert summary.list_links(totals) == [summary.LinkRow("vm-1", {"desk": 1}, 3, 2)]
+    assert "VM without links" in commands.format_totals(totals)
+
+
+def test_request_without_any_path_to_a_target_has_that_cause() -> None:
+    lines = (make_attempt("unused", why="no relay"), make_answer(503, "no relay"))
+    assert judge(*lines)[1] == causes.Cause.NO_PATH.value
--- a/tests/edge/test_lost_links.py
+++ b/tests/edge/test_lost_links.py
@@ -9,6 +9,8 @@
 import partition
 import pytest
 
+from zinniastand_standins import loopback
+
 pytestmark = pytest.mark.anyio
 
 MIN_SHARE_OF_OTHERS = 0.9
@@ -70,3 +72,57 @@
     before_share = sum(before.values()) / (6 * REQUESTS_PER_VM)
     assert other_share >= MIN_SHARE_OF_BEFORE * before_share
     assert cut_share >= MIN_SHARE_OF_OTHERS * other_share
+
+
+async def test_request_that_no_vm_can_pass_on_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against holding callers until their deadline while no VM has any links.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for number in range(3):
+            await site.start_target(edge_site.Target(f"t{number}"))
+        links = partition.Partition(
+            monkeypatch, lambda: {target.port for target in site.targets.values()}
+        )
+        vms = [await site.start_vm(f"vm-{number}") for number in range(3)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        links.begin([vm.settings.vm for vm in vms], partition.Cut.SILENT)
+        for _ in range(3):
+            for vm in vms:
+                await edge_site.call(vm, time_left=1500)
+        begin = anyio.current_time()
+        answer = await edge_site.call(vms[0], time_left=5000)
+        assert answer.status_code == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        assert anyio.current_time() - begin < 0.3
+        links.end()
+        # Links are found to work again by probes.
+        await anyio.sleep(1.0)
+        assert (await edge_site.call(vms[0])).status_code == 200
+        assert any(line["event"] == "links_back" for line in vms[0].read_log())
+
+
+async def test_failed_rack_is_not_taken_for_lost_links() -> None:
+    # Guards against a fleet that refuses its callers, since each VM met two dead
+    # targets in turn and takes its own links for lost.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for number in range(6):
+            await site.start_target(edge_site.Target(f"t{number}"))
+        vms = [await site.start_vm(f"vm-{number}") for number in range(2)]
+        for vm in vms:
+            await edge_site.wait_ready(vm)
+        for number in range(3):
+            site.targets[f"t{number}"].port = loopback.find_free_port()
+            site.register(site.targets[f"t{number}"])
+        await anyio.sleep(0.5)
+        answers = [
+            (await edge_site.call(vm, request_id=f"{vm.settings.vm}-{n}")).status_code
+            for n in range(20)
+            for vm in vms
+        ]
+        assert answers == [200] * 40
+        for vm in vms:
+            assert not any(line["event"] == "links_lost" for line in vm.read_log())
--- a/tests/edge/test_stop_corners.py
+++ b/tests/edge/test_stop_corners.py
@@ -90,6 +90,9 @@
     def send_estimates(self) -> None:
         """Do nothing."""
 
+    def count_relayed(self) -> int:
+        return 0
+
     def announce_leaving(self) -> None:
         """Do nothing."""
 
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -210,6 +210,9 @@
     def send_estimates(self) -> None:
         raise RuntimeError("a fault")
 
+    def count_relayed(self) -> int:
+        return 0
+
     def announce_leaving(self) -> None:
         raise RuntimeError("a fault")
 
--- a/tests/partition.py
+++ b/tests/partition.py
@@ -48,6 +48,7 @@
         read_ports: collections.abc.Callable[[], set[int]],
     ) -> None:
         self._cuts: dict[str, Cut] = {}
+        self._streams: set[_TargetStream] = set()
         self._read_ports = read_ports
         self._connect = anyio.connect_tcp
         monkeypatch.setattr(anyio, "connect_tcp", self._connect_tcp)
@@ -55,14 +56,22 @@
     def begin(self, vms: collections.abc.Iterable[str], cut: Cut) -> None:
         """Partition these VMs from all targets."""
         self._cuts = dict.fromkeys(vms, cut)
+        if cut is Cut.RESET:
+            for stream in [item for item in self._streams if item.vm in self._cuts]:
+                stream.reset()
 
     def end(self) -> None:
         """Let all VMs reach the targets again."""
         self._cuts = {}
 
-    def find_cut(self, vm: str) -> Cut | None:
-        """Return what happens to the connections of a VM; None if it is not cut."""
-        return self._cuts.get(vm)
+    async def wait_while_silent(self, vm: str) -> None:
+        """Wait while the connections of a VM hang."""
+        while self._cuts.get(vm) is Cut.SILENT:
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    def forget(self, stream: _TargetStream) -> None:
+        """Forget a connection that was closed."""
+        self._streams.discard(stream)
 
     async def _connect_tcp(
         self, remote_host: str, remote_port: int, **options: typing.Any
@@ -70,13 +79,15 @@
         vm = current_vm.get("")
         if not vm or remote_port not in self._read_ports():
             return await self._connect(remote_host, remote_port, **options)
-        match self.find_cut(vm):
+        match self._cuts.get(vm):
             case Cut.SILENT:
                 await anyio.sleep_forever()
             case Cut.RESET | Cut.KEPT:
                 raise ConnectionRefusedError
-        stream = await self._connect(remote_host, remote_port, **options)
-        return _TargetStream(stream, vm, self)
+        connection = await self._connect(remote_host, remote_port, **options)
+        stream = _TargetStream(connection, vm, self)
+        self._streams.add(stream)
+        return stream
 
 
 class _TargetStream(anyio.abc.ByteStream):
@@ -86,37 +97,29 @@
         self, stream: anyio.abc.ByteStream, vm: str, partition: Partition
     ) -> None:
         self._stream = stream
-        self._vm = vm
         self._partition = partition
+        self._is_reset = False
+        self._scope = anyio.CancelScope()
+        self.vm = vm
+
+    def reset(self) -> None:
+        """Break the connection, also while bytes are awaited."""
+        self._is_reset = True
+        self._scope.cancel()
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return received bytes once the partition lets them through."""
-        received: list[bytes | Exception] = []
-        async with anyio.create_task_group() as group:
-
-            async def _receive() -> None:
-                try:
-                    received.append(await self._stream.receive(max_bytes))
-                except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
-                    received.append(error)
-
-            group.start_soon(_receive)
-            while not received or self._is_cut():
-                if self._partition.find_cut(self._vm) is Cut.RESET:
-                    received[:] = [anyio.BrokenResourceError()]
-                    break
-                await anyio.sleep(CHECK_INTERVAL_S)
-            group.cancel_scope.cancel()
-        if isinstance(received[0], Exception):
-            raise received[0]
-        return received[0]
+        with anyio.CancelScope() as self._scope:
+            self._raise_if_reset()
+            data = await self._stream.receive(max_bytes)
+            await self._partition.wait_while_silent(self.vm)
+            return data
+        raise anyio.BrokenResourceError
 
     async def send(self, item: bytes) -> None:
         """Send bytes once the partition lets them through."""
-        while self._is_cut():
-            if self._partition.find_cut(self._vm) is Cut.RESET:
-                raise anyio.BrokenResourceError
-            await anyio.sleep(CHECK_INTERVAL_S)
+        await self._partition.wait_while_silent(self.vm)
+        self._raise_if_reset()
         await self._stream.send(item)
 
     async def send_eof(self) -> None:
@@ -125,6 +128,7 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
+        self._partition.forget(self)
         await self._stream.aclose()
 
     @property
@@ -134,5 +138,6 @@
         """Attributes of the connection itself."""
         return self._stream.extra_attributes
 
-    def _is_cut(self) -> bool:
-        return self._partition.find_cut(self._vm) in (Cut.SILENT, Cut.RESET)
+    def _raise_if_reset(self) -> None:
+        if self._is_reset:
+            raise anyio.BrokenResourceError
