Do not take targets for crashed where the own links are lost

A VM whose connections are all reset and refused at once reported each of its requests as one that had crashed its target; three such reports keep a request from all targets at every VM, so callers of other VMs would see 503 "quarantined". Cause: a refused connection right after a broken answer counted as a crash, whoever else it refused. Class: failures that correlate by their reporter. A crash is now reported only if another target accepts a connection. test_vm_without_links_does_not_take_targets_for_crashed failed before.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/crash_check.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+
 import anyio
 
 from zinniastand_core.deployment import targets
@@ -21,10 +23,30 @@
 """Seconds for which the result of a check is kept, from the start of the check."""
 
 
+CanConnectElsewhere = collections.abc.Callable[
+    [targets.Entry], collections.abc.Awaitable[bool]
+]
+"""Returns whether this VM reaches another target than the given one."""
+
+
+async def assume_links(_: targets.Entry) -> bool:
+    """Return True: nothing can be said about the links of this VM."""
+    return True
+
+
 class CrashCheck:
-    """Checks whether targets refuse connections; concurrent callers share a check."""
+    """Checks whether targets refuse connections; concurrent callers share a check.
+
+    Parameters
+    ----------
+    can_connect_elsewhere : CanConnectElsewhere, optional
+        Tells a crashed target from a VM whose connections all are reset and refused.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, can_connect_elsewhere: CanConnectElsewhere = assume_links
+    ) -> None:
+        self._can_connect_elsewhere = can_connect_elsewhere
         self._results: dict[str, tuple[bool, float]] = {}
         self._checks_in_flight: dict[str, anyio.Event] = {}
 
@@ -47,7 +69,9 @@
         started_at = anyio.current_time()
         done = self._checks_in_flight[name] = anyio.Event()
         try:
-            is_down = await _refuses_connections(target)
+            is_down = await _refuses_connections(
+                target
+            ) and await self._can_connect_elsewhere(target)
         finally:
             del self._checks_in_flight[name]
             done.set()
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -285,6 +285,7 @@
             self.metrics,
             self._suspension.check,
             self._keeper.wait_at_start,
+            self._direct_connector.can_connect_elsewhere,
         )
         self._forwarder = forwarder.Forwarder(
             dependencies, own.vm, own.data_centre, own.incarnation
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -80,6 +80,9 @@
     wait_at_start: collections.abc.Callable[[], collections.abc.Awaitable[None]]
     """Delays requests while a VM that has just started lacks what it needs."""
 
+    can_connect_elsewhere: crash_check.CanConnectElsewhere = crash_check.assume_links
+    """Returns whether this VM reaches another target than the given one."""
+
 
 class Forwarder:
     """Handles the requests of callers.
@@ -122,7 +125,7 @@
             dependencies.platform_headers,
             self._make_ticket,
             dependencies.suspects,
-            crash_check.CrashCheck().is_down,
+            crash_check.CrashCheck(dependencies.can_connect_elsewhere).is_down,
             dependencies.check_suspension,
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
@@ -121,6 +121,15 @@
                 group.start_soon(_probe, entry)
         return bool(reached)
 
+    async def can_connect_elsewhere(self, target: targets.Entry) -> bool:
+        """Return whether this VM reaches another target, if there is any."""
+        others = [
+            entry
+            for entry in self._registry.list_entries()
+            if entry.target_id != target.target_id
+        ]
+        return not others or await self._reaches_any(others)
+
     async def watch(self) -> None:
         """Connect to targets whose links are lost, until cancelled."""
         for turn in itertools.count():
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -337,3 +337,29 @@
             await edge_site.wait_until(lambda: has("ran"))
             group.cancel_scope.cancel()
         await edge_site.wait_until(lambda: has("cancelled"))
+
+
+async def test_vm_without_links_does_not_take_targets_for_crashed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against quarantining requests of a VM whose connections were all reset.
+    async with edge_site.run_site() as site:
+        site.publish([edge_site.make_route()])
+        for name in ("t1", "t2"):
+            await site.start_target(edge_site.Target(name))
+            site.targets[name].delay = 1.0
+        links = partition.Partition(
+            monkeypatch, lambda: {target.port for target in site.targets.values()}
+        )
+        vm = await site.start_vm("vm-1")
+        await edge_site.wait_ready(vm)
+        async with anyio.create_task_group() as group:
+            for number in range(4):
+                group.start_soon(edge_site.call, vm, "/x", f"r{number}")
+            await edge_site.wait_until(
+                lambda: sum(len(t.ran) for t in site.targets.values()) == 4
+            )
+            links.begin(["vm-1"], partition.Cut.RESET)
+        lines = [line for line in vm.read_log() if line["event"] == "attempt"]
+        assert [line["why"] for line in lines[:4]] == ["reset before an answer"] * 4
+        assert not any(line.get("crashed") for line in lines)
--- a/tests/partition.py
+++ b/tests/partition.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextvars
 import enum
+import errno
 import typing
 
 import anyio
@@ -83,7 +84,7 @@
             case Cut.SILENT:
                 await anyio.sleep_forever()
             case Cut.RESET | Cut.KEPT:
-                raise ConnectionRefusedError
+                raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
         connection = await self._connect(remote_host, remote_port, **options)
         stream = _TargetStream(connection, vm, self)
         self._streams.add(stream)
