Release the slots of attempts on lost links without blaming their targets

Callers of VMs in touch would wait or see 503, since targets looked slow or failing. Cause: attempts on connections that a partition had silenced held their slots until their deadline and then counted as silent targets; the dispatcher took the time they had lasted for slowness of the target. Class: failures that correlate by their reporter. When a VM takes its links to a service for lost, it gives the slots of its attempts there back without an outcome. The attempts go on waiting for their answers. test_attempt_on_a_lost_link_says_nothing_about_its_target failed before, since there was no such release.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -290,6 +290,7 @@
         self._forwarder = forwarder.Forwarder(
             dependencies, own.vm, own.data_centre, own.incarnation
         )
+        self._direct_connector.use_lost_handler(self._forwarder.release_slots)
         self._build_servers(self._forwarder)
 
     def _build_connector(self) -> relaying_connector.RelayingConnector:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -178,6 +178,11 @@
         for run in self._runs:
             run.compensate_suspension(seconds)
 
+    def release_slots(self, service: str) -> None:
+        """Release the slots of a service whose targets this VM cannot reach."""
+        for run in self._runs:
+            run.release_slots(service)
+
     def _is_too_late(self, route: configuration.Route) -> bool:
         """Return whether the process ends too soon for a new request.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import contextlib
 import itertools
 import random
@@ -50,12 +51,17 @@
         self._rng = rng
         self._direct = target_connector.DirectConnector()
         self._services_in_check: set[str] = set()
+        self._on_lost: collections.abc.Callable[[str], None] = lambda service: None
 
     @property
     def opened_connections(self) -> int:
         """Number of attempts to open a connection."""
         return self._direct.opened_connections
 
+    def use_lost_handler(self, on_lost: collections.abc.Callable[[str], None]) -> None:
+        """Call `on_lost` with each service to whose targets all links are lost."""
+        self._on_lost = on_lost
+
     def has_lost_service(self, service: str) -> bool:
         """Return whether the links to all targets of a service are lost."""
         return self._links.has_lost_service(service)
@@ -105,6 +111,7 @@
         if is_lost:
             self._links.record_loss(service)
             self._log_links("links_lost", service)
+            self._on_lost(service)
 
     async def _reaches_any(self, entries: list[targets.Entry]) -> bool:
         """Return whether one of some targets, chosen at random, can be reached."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -53,6 +53,7 @@
 # Reasons that stand in the log, in metric labels and in replies.
 CALLER_LEFT = "caller left"
 DEADLINE = "deadline"
+LINKS_LOST = "links lost"
 OTHER_ANSWERED = "another target answered"
 OVERDUE = "overdue"
 QUARANTINED = "quarantined"
@@ -108,6 +109,7 @@
         self._answer: http_exchange.Answer | None = None
         self._retry_at: float | None = None
         self._why = ""
+        self._held_slots: list[attempt_ends.GrantedSlot] = []
 
     async def run(self) -> calls.Reply:
         """Return the reply to the caller, by the deadline at the latest."""
@@ -133,6 +135,19 @@
         self._plan.compensate_suspension(seconds)
         self._scope.deadline = self._plan.deadlines.deadline_at
 
+    def release_slots(self, service: str) -> None:
+        """Release the slots of a service whose targets this VM cannot reach any more.
+
+        An attempt in flight goes on waiting, since its answer may still arrive. But its
+        silence or its end say nothing about the target.
+        """
+        if service != self._service:
+            return
+        lost = attempt_ends.AttemptEnd(messages.Outcome.ABANDONED, LINKS_LOST, 0.0)
+        for slot in self._held_slots:
+            attempt_ends.report(self._dependencies, slot, lost)
+        self._held_slots.clear()
+
     def _may_cancel(self) -> bool:
         """Return whether the run may be cancelled when the caller disconnects.
 
@@ -261,6 +276,7 @@
         started_at = anyio.current_time()
         outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
         has_crashed, is_resent, rate_limit, relay = False, False, None, ""
+        self._held_slots.append(slot)
         self._dependencies.suspects.begin_attempt(self._fingerprint, started_at)
         try:
             attempt = await self._send(target, started_at)
@@ -294,7 +310,9 @@
                 is_resent,
                 relay,
             )
-            attempt_ends.report(self._dependencies, slot, end)
+            if slot in self._held_slots:
+                self._held_slots.remove(slot)
+                attempt_ends.report(self._dependencies, slot, end)
             attempt_ends.record(self._dependencies, self._logged_request, slot, end)
         return self._handle_end(attempt, target, now)
 
--- a/tests/edge/test_request_run.py
+++ b/tests/edge/test_request_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -10,6 +11,7 @@
 from zinniastand_core import services
 from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
+from zinniastand_proxy.edge import calls, http_exchange, request_run
 
 Result = plan.AttemptResult
 FAILURES = [failure for failure in Result if failure is not Result.ANSWERED]
@@ -149,3 +151,28 @@
     if run_result.status == 200:
         assert named[run_result.body.decode()].result is Result.ANSWERED
     assert run_result.duration <= scripted_run.TIME_LIMIT_S + 0.001
+
+
+def test_attempt_on_a_lost_link_says_nothing_about_its_target() -> None:
+    # Guards against silent connections of a partitioned VM making healthy targets look
+    # slow or failing to all others.
+    exchange = scripted_run.ScriptedTargets(
+        {"t1": scripted_run.Script(Result.BROKEN, 1)}
+    )
+    slots = scripted_run.ScriptedSlots(["t1"])
+
+    async def main() -> None:
+        dependencies = scripted_run.make_dependencies(slots, exchange, ["t1"])
+        request = http_exchange.Request(b"GET", b"/x", [], b"", False)
+        incoming = calls.Incoming(request, "h", anyio.current_time(), calls.Caller())
+        route = scripted_run.make_route(services.Work.AT_MOST_ONCE, 2)
+        run = request_run.Run(dependencies, incoming, route, "desk")
+        async with anyio.create_task_group() as group:
+            group.start_soon(run.run)
+            await anyio.sleep(0.5)
+            run.release_slots("another")
+            assert slots.outcomes == []
+            run.release_slots("desk")
+
+    scripted_run.run_in_virtual_time(main)
+    assert slots.outcomes == [messages.Outcome.ABANDONED]
