Draw other free ports in each forked process

Cause: the order in which free ports are drawn was made at import, so all forked workers drew the same ports at the same time. Test site only. test_forked_processes_draw_different_ports failed before.

--- a/packages/zinniastand-standins/src/zinniastand_standins/loopback.py
+++ b/packages/zinniastand-standins/src/zinniastand_standins/loopback.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import os
 import random
 import socket
 
@@ -15,7 +16,20 @@
 ephemeral port between its choice and its use, which made a test fail under load."""
 
 
-_candidates = itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
+def _shuffle_ports() -> itertools.cycle[int]:
+    return itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
+
+
+_candidates = _shuffle_ports()
+
+
+def _replace_candidates() -> None:
+    """Let a forked process draw other ports than its parent and siblings."""
+    global _candidates
+    _candidates = _shuffle_ports()
+
+
+os.register_at_fork(after_in_child=_replace_candidates)
 
 
 def find_free_port() -> int:
--- a/tests/standins/test_loopback.py
+++ b/tests/standins/test_loopback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import socket
 
 from zinniastand_standins import loopback
@@ -26,3 +27,20 @@
     ports = [loopback.find_free_port() for _ in range(len(loopback.PORTS) // 4)]
 
     assert len(set(ports)) == len(ports)
+
+
+def test_forked_processes_draw_different_ports() -> None:
+    # Guards against soaks played side by side whose daemons listen at the same ports.
+    context = multiprocessing.get_context("fork")
+    queue = context.SimpleQueue()
+
+    def draw() -> None:
+        queue.put([loopback.find_free_port() for _ in range(20)])
+
+    processes = [context.Process(target=draw) for _ in range(2)]
+    for process in processes:
+        process.start()
+    first, second = (queue.get() for _ in processes)
+    for process in processes:
+        process.join()
+    assert len({*first, *second}) > 30
