Partition groups of VMs from all targets in the soak

A new kind, partitions: beside faults of all kinds, groups of VMs lose all targets, silently, by resets, or with open connections that live on; daemons start by a script that replaces how they connect. Judged: from a second after the begin, partitioned VMs serve 0.9 times as often as the others. Requests of partitioned VMs may pass any other VM, so that faults of all are their excuses. The stand-in for the partition serves tests and soak.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -187,6 +187,20 @@
     """Time after which the fault had no effects."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartitionPeriod:
+    """A period in which some VMs were partitioned from all targets."""
+
+    vms: frozenset[int]
+    """Numbers of these VMs."""
+
+    begin: float
+    """Time at which the partition began."""
+
+    end: float
+    """Time from which all VMs reached the targets again."""
+
+
 @dataclasses.dataclass(slots=True)
 class Ledger:
     """All events of a soak, by kind, each list in the order of recording."""
@@ -218,5 +232,8 @@
     rate_limit_periods: list[RateLimitPeriod] = dataclasses.field(default_factory=list)
     """Periods in which targets named rate limits."""
 
+    partitions: list[PartitionPeriod] = dataclasses.field(default_factory=list)
+    """Periods in which VMs were partitioned from all targets."""
+
     faults: list[FaultPeriod] = dataclasses.field(default_factory=list)
     """Periods of faults that are over."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,8 @@
 import enum
 import random
 
+from zinniastand_standins import partition
+
 from . import links
 
 FAULT_PHASE_S = 9.0
@@ -43,6 +45,9 @@
     RETRIES = "retries"
     """Mixed faults, and services that refuse all requests while VMs are killed."""
 
+    PARTITIONS = "partitions"
+    """Mixed faults, and groups of VMs that are partitioned from all targets."""
+
     CRASHES = "crashes"
     """Mixed faults, targets that crash, and requests that crash targets."""
 
@@ -104,6 +109,9 @@
     SHED = "shed"
     """Lets all targets of a service refuse all requests."""
 
+    PARTITION = "partition"
+    """Partitions a group of VMs from all targets."""
+
     CORNER = "corner"
     """Lets one target be slow at times while all others of its service fail."""
 
@@ -148,6 +156,12 @@
         Action.PAUSE: 4,
         Action.ROLL: 1,
     },
+    Kind.PARTITIONS: {
+        **MIXED_WEIGHTS,
+        Action.PARTITION: 8,
+        Action.KILL: 3,
+        Action.ROLL: 1,
+    },
     Kind.CRASHES: {**MIXED_WEIGHTS, Action.CRASH: 8, Action.CRASHING: 2},
 }
 
@@ -169,6 +183,7 @@
 VARIANTS: dict[Action, tuple[str, ...]] = {
     Action.STORE: ("busy", "silent", "reset", "lost"),
     Action.STORE_LINK: ("delay", "reset", "mute-back", "mute-forth", "silence"),
+    Action.PARTITION: tuple(cut.value for cut in partition.Cut),
     Action.TARGET: ("error", "hang", "shed", "bare", "slow", "unsigned"),
     Action.TARGET_LINK: tuple(
         fault.value for fault in links.LinkFault if fault.value != "none"
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -68,6 +68,16 @@
 MAX_LATE_RUNS = 3
 """Runs of a request that are allowed after its quarantine."""
 
+PARTITION_SETTLING_S = 1.0
+"""Seconds after the begin of a partition from which its VMs serve as the others do, and
+after its end for which it may still have effects."""
+
+MIN_PARTITIONED_SHARE = 0.9
+"""Least share of requests that partitioned VMs serve, relative to the other VMs."""
+
+MAX_UNSERVED_REQUESTS = 10
+"""Requests that partitioned VMs may fail in any case, so that few prove nothing."""
+
 MIN_RECOVERED_SHARE = 0.9
 """Least share of requests that are served once all faults are over. Targets do not
 fail then."""
@@ -109,6 +119,7 @@
         _check_limits,
         _check_retries,
         _check_denied,
+        _check_partitions,
     )
     found = [breach for check in checks for breach in check(entries)]
     return [*found, *_check_recovery(entries, calm_from)]
@@ -236,7 +247,9 @@
         if request is None:
             continue
         remaining_s = TIME_LIMIT_S - (run.started_at - request.sent_at)
-        vm_names = {_name_vm(request.vm)}
+        vm_names = _name_involved_vms(
+            entries, request.vm, request.sent_at, run.started_at
+        )
         if run.time_left <= remaining_s + TIME_LIMIT_MARGIN_S + MARGIN_S:
             continue
         if _has_fault(
@@ -270,7 +283,9 @@
             or sent_request.request_id not in run_ids
         ):
             continue
-        vm_names = {_name_vm(sent_request.vm)}
+        vm_names = _name_involved_vms(
+            entries, sent_request.vm, sent_request.sent_at, outcome.ended_at
+        )
         if not _has_fault(
             entries, vm_names, sent_request.sent_at, outcome.ended_at, unplanned
         ):
@@ -305,11 +320,11 @@
             continue
         if _has_fault(
             entries,
-            {_name_vm(request.vm)},
+            _name_involved_vms(entries, request.vm, request.sent_at, outcome.ended_at),
             request.sent_at,
             outcome.ended_at,
             unplanned,
-        ):
+        ) or _has_lost_links(entries, request.vm, run.started_at, run_end.ended_at):
             continue
         if not _has_fault(
             entries, {run.target_id}, run.started_at, run_end.ended_at, link_faults
@@ -322,6 +337,40 @@
             yield Breach("given-up", detail)
 
 
+def _check_partitions(entries: ledger.Ledger) -> collections.abc.Iterator[Breach]:
+    """Check that VMs without links to targets serve their callers as the others do.
+
+    Requests count from some time after the partition began, for VMs that no other
+    fault affected.
+    """
+    served: collections.Counter[bool] = collections.Counter()
+    sent: collections.Counter[bool] = collections.Counter()
+    for period in entries.partitions:
+        for request in entries.sent_requests:
+            outcome = entries.outcomes.get(request.request_id)
+            begin = period.begin + PARTITION_SETTLING_S
+            if not begin <= request.sent_at < period.end - TIME_LIMIT_S:
+                continue
+            if outcome is None or outcome.has_left:
+                continue
+            vm_names = {_name_vm(request.vm)}
+            since = request.sent_at - CALM_BEFORE_S
+            if _has_fault(entries, vm_names, since, outcome.ended_at):
+                continue
+            is_partitioned = request.vm in period.vms
+            sent[is_partitioned] += 1
+            served[is_partitioned] += outcome.status == 200
+    if not sent[True] or not sent[False]:
+        return
+    wanted = MIN_PARTITIONED_SHARE * served[False] / sent[False] * sent[True]
+    if served[True] < wanted - MAX_UNSERVED_REQUESTS:
+        detail = (
+            f"partitioned VMs served {served[True]} of {sent[True]} requests,"
+            f" the others {served[False]} of {sent[False]}"
+        )
+        yield Breach("partitions", detail)
+
+
 def _check_crashing(entries: ledger.Ledger) -> collections.abc.Iterator[Breach]:
     """Check that a request that has crashed three targets hardly reaches any more.
 
@@ -512,3 +561,31 @@
         fault.affected in affected and fault.begin <= end and fault.end >= begin
         for fault in (entries.faults if considered is None else considered)
     )
+
+
+def _has_lost_links(entries: ledger.Ledger, vm: int, begin: float, end: float) -> bool:
+    """Return whether a partition of a VM began while it ran a request."""
+    return any(
+        vm in period.vms
+        and begin <= period.begin + PARTITION_SETTLING_S
+        and end >= period.begin
+        for period in entries.partitions
+    )
+
+
+def _name_involved_vms(
+    entries: ledger.Ledger, vm: int, begin: float, end: float
+) -> set[str]:
+    """Return the VMs that a request may have passed.
+
+    While a VM is partitioned, any other may relay its connections.
+    """
+    is_partitioned = any(
+        vm in period.vms
+        and begin <= period.end + PARTITION_SETTLING_S
+        and end >= period.begin
+        for period in entries.partitions
+    )
+    if not is_partitioned:
+        return {_name_vm(vm)}
+    return {_name_vm(vm), *(_name_vm(sent.vm) for sent in entries.sent_requests)}
--- a/soak/run.py
+++ b/soak/run.py
@@ -39,6 +39,7 @@
     plan.Action.LIMIT,
     plan.Action.CRASH,
     plan.Action.CRASHING,
+    plan.Action.PARTITION,
 )
 """Actions that are not recorded as faults, since neither the ordinary work of operators
 nor the crash of a target excuses a breach. Each stop of a rolling restart is recorded
@@ -80,6 +81,9 @@
 REGISTRATION_INTERVAL_S = 0.5
 """Seconds between the registrations of a target if the store is restored."""
 
+PARTITION_EXTENSION_S = 2.0
+"""Seconds added to the duration of a partition, so that it is judged for some time."""
+
 AFTERMATH_S = 1.0
 """Seconds after the end of a fault for which it may still have effects."""
 
@@ -144,6 +148,7 @@
         self._target_count = 0
         self._sequence_numbers = itertools.count(1)
         self._busy_vms: set[int] = set()
+        self._is_partitioned = False
         self._calm_from = 0.0
 
     async def run(self) -> Report:
@@ -253,6 +258,8 @@
                     links.LinkFault(step.variant), step.duration_s
                 )
                 return f"vm-{vm.number}"
+            case plan.Action.PARTITION:
+                await self._partition_vms(step)
             case plan.Action.STORE:
                 self._store.topics.fault = topic_store.Fault(step.variant)
                 await anyio.sleep(step.duration_s)
@@ -371,6 +378,27 @@
         finally:
             self._busy_vms.discard(vm.number)
 
+    async def _partition_vms(self, step: plan.Step) -> None:
+        """Partition a group of VMs from all targets, unless one is already."""
+        if self._is_partitioned:
+            return
+        self._is_partitioned = True
+        size = 1 + step.index % (len(self._vms) - 1)
+        chosen = [self._vms[(step.index + n) % len(self._vms)] for n in range(size)]
+        uncut_ports = [vm.peers_port for vm in self._vms]
+        uncut_ports += [vm.store_link.port for vm in self._vms]
+        for vm in chosen:
+            vm.cut_targets(step.variant, uncut_ports)
+        begin = anyio.current_time()
+        await anyio.sleep(step.duration_s + PARTITION_EXTENSION_S)
+        end = anyio.current_time()
+        for vm in chosen:
+            vm.cut_targets("", ())
+        numbers = frozenset(vm.number for vm in chosen)
+        period = ledger.PartitionPeriod(numbers, begin, end)
+        self._entries.partitions.append(period)
+        self._is_partitioned = False
+
     async def _start_store(self) -> None:
         app = topic_store_app.TopicStoreApp(self._store.topics)
         server = http_server.Server(app, configuration.Limits, _raise_unexpected)
@@ -382,6 +410,7 @@
             await self._group.start(link.serve)
             vm = vms.Vm(number, self._folder, self._program, link)
             vm.write_settings()
+            vm.cut_targets("", ())
             self._vms.append(vm)
 
     async def _start_target(self, service: str) -> None:
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -17,7 +17,7 @@
 from zinniastand_platform import wire_names
 from zinniastand_standins import loopback
 
-from . import links, promises
+from . import links, partitioned_launch, promises
 
 READY_CHECK_INTERVAL_S = 0.1
 """Seconds between two checks whether a VM is ready, and time limit of each."""
@@ -70,6 +70,8 @@
         self.process: anyio.abc.Process | None = None
         self._program = program
         self._settings_path = folder / f"vm-{number}.json"
+        self._cut_path = folder / f"vm-{number}.cut.json"
+        self.peers_port = loopback.find_free_port()
         self.log_path = folder / f"vm-{number}.log"
 
     def write_settings(self) -> None:
@@ -80,7 +82,7 @@
             "callers": f"{links.HOST}:{self.callers_port}",
             "readiness": f"{links.HOST}:{self._readiness_port}",
             "metrics": f"{links.HOST}:{self._metrics_port}",
-            "peers": f"{links.HOST}:{loopback.find_free_port()}",
+            "peers": f"{links.HOST}:{self.peers_port}",
             "store": f"{links.HOST}:{self.store_link.port}",
             "stop_limit_s": STOP_LIMIT_S,
             "unready_after_s": UNREADY_AFTER_S,
@@ -92,12 +94,26 @@
         }
         self._settings_path.write_text(json.dumps(settings))
 
+    def cut_targets(self, cut: str, uncut_ports: collections.abc.Iterable[int]) -> None:
+        """Cut the connections to all targets, or restore them for an empty name.
+
+        `uncut_ports` are those of the store and the other VMs.
+        """
+        temporary_path = self._cut_path.with_suffix(".new")
+        values = {"cut": cut, "uncut_ports": sorted(uncut_ports)}
+        temporary_path.write_text(json.dumps(values))
+        temporary_path.replace(self._cut_path)
+
     async def start(self) -> None:
         """Start the process."""
         with self.log_path.open("ab") as log:
             self.process = await anyio.open_process(
-                [sys.executable, str(self._program)],
-                env={**os.environ, SETTINGS_VARIABLE: str(self._settings_path)},
+                [sys.executable, partitioned_launch.__file__, str(self._program)],
+                env={
+                    **os.environ,
+                    SETTINGS_VARIABLE: str(self._settings_path),
+                    partitioned_launch.CUT_FILE_VARIABLE: str(self._cut_path),
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -68,6 +68,29 @@
     assert report.breaches == ()
 
 
+def test_every_promise_holds_where_vms_lose_their_links_to_targets(
+    tmp_path: pathlib.Path,
+) -> None:
+    # Guards against partitioned VMs that refuse their callers, or take targets from the
+    # others.
+    scenario = run.Scenario(plan.Kind.PARTITIONS)
+    report = run.play_seed(SHORT_SEEDS[0], tmp_path, scenario=scenario)
+    assert report.breaches == ()
+    assert report.served_count > 0.5 * report.sent_count
+
+
+def test_partitioned_vms_that_serve_less_than_the_others_are_seen() -> None:
+    entries = make_entries()
+    entries.partitions.append(ledger.PartitionPeriod(frozenset({1}), 10.0, 20.0))
+    for number in range(60):
+        request = ledger.SentRequest(f"p{number}", number % 2, False, "/safe/", b"", 12)
+        entries.sent_requests.append(request)
+        status = 503 if request.vm == 1 else 200
+        outcome = ledger.Outcome(f"p{number}", 13.0, status, False, b"", False)
+        entries.outcomes[request.request_id] = outcome
+    assert "partitions" in find_broken_promises(entries)
+
+
 def test_retries_beyond_their_bound_are_seen() -> None:
     entries = make_entries()
     for number in range(30):
