Try targets that have not failed yet where no VM relays a connection

Callers saw 503 "no relay" for up to half a second: where all VMs had met the same dead targets, each took its links for lost, refused to relay, and did not try the targets that were left. A request makes one direct attempt at a target that has not failed; it is refused at once only where all have.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/target_links.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/target_links.py
@@ -66,6 +66,10 @@
         """Return whether the links to all targets of a service are lost."""
         return service in self._lost_services
 
+    def has_failed(self, target_id: str) -> bool:
+        """Return whether the last connection to a target failed."""
+        return target_id in self._lost_targets
+
     @property
     def lost_services(self) -> frozenset[str]:
         """Services to whose targets all links are lost."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
@@ -66,6 +66,17 @@
         """Return whether the links to all targets of a service are lost."""
         return self._links.has_lost_service(service)
 
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether the connections to all targets of a service have failed."""
+        usable = self._registry.list_usable(service, anyio.current_time())
+        return self._links.has_lost_service(service) and all(
+            self._links.has_failed(entry.target_id) for entry in usable
+        )
+
+    def has_failed(self, target: targets.Entry) -> bool:
+        """Return whether the last direct connection to a target failed."""
+        return self._links.has_failed(target.target_id)
+
     def has_direct_link(self, target: targets.Entry) -> bool:
         """Return whether direct connections to a target may be used."""
         return not self._links.is_lost(target.service, target.target_id)
@@ -153,8 +164,11 @@
         if services:
             service = services[turn % len(services)]
             usable = self._registry.list_usable(service, anyio.current_time())
+            untried = [
+                entry for entry in usable if not self._links.has_failed(entry.target_id)
+            ]
             if usable:
-                return self._rng.choice(usable)
+                return self._rng.choice(untried or usable)
         lost = [self._registry.find(name) for name in self._links.lost_targets]
         entries = [entry for entry in lost if entry is not None]
         return self._rng.choice(entries) if entries else None
@@ -224,6 +238,20 @@
         try:
             return await self._relays.connect(target, time_left)
         except relay_client.NoRelayError as error:
+            detail = str(error)
+        # Where all VMs met the same dead targets, each takes its links for lost. A
+        # target that has not failed yet is therefore worth one direct attempt.
+        if not self._direct.has_failed(target):
+            return await self._try_directly(target, time_left)
+        is_own_path = self._direct.is_cut_off(target.service)
+        raise target_connector.UnreachableError(detail, is_own_path=is_own_path)
+
+    async def _try_directly(
+        self, target: targets.Entry, time_left: float
+    ) -> target_connector.TargetStream:
+        try:
+            return await self._direct.connect(target, time_left)
+        except target_connector.UnreachableError as error:
             is_own_path = self._direct.has_lost_service(target.service)
             raise target_connector.UnreachableError(
                 str(error), is_own_path=is_own_path
