Read and log the rest that a target asks for, and that it is leaving

Attempt lines name rest_s and leaving; values that are no number are ignored and counted. No decision changes.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -7,7 +7,7 @@
 from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
 
-from . import request_recorder, run_dependencies
+from . import request_recorder, run_dependencies, target_client
 
 OUTCOMES = {
     plan.AttemptResult.ANSWERED: messages.Outcome.GOOD,
@@ -60,6 +60,13 @@
     relay: str = ""
     """VM that relayed the connection; empty for a direct one."""
 
+    rest: float | None = None
+    """Seconds for which the target wants no requests of this VM; None if its answer
+    asks for no rest."""
+
+    is_leaving: bool = False
+    """Whether the target's answer states that it is leaving."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoggedRequest:
@@ -79,6 +86,24 @@
 """End of an attempt that was granted a slot but sent nothing."""
 
 
+def make_end(attempt: target_client.Attempt, duration: float) -> AttemptEnd:
+    """Return how an attempt ended that was not cancelled."""
+    # For want of a path, nothing was sent, and nothing is known about the target.
+    outcome = (
+        messages.Outcome.UNUSED if attempt.is_own_path else OUTCOMES[attempt.result]
+    )
+    return AttemptEnd(
+        outcome,
+        attempt.detail,
+        duration,
+        rate_limit=attempt.rate_limit,
+        is_resent=attempt.is_resent,
+        relay=attempt.relay,
+        rest=attempt.rest,
+        is_leaving=attempt.is_leaving,
+    )
+
+
 def report(
     dependencies: run_dependencies.RunDependencies, slot: GrantedSlot, end: AttemptEnd
 ) -> None:
@@ -119,5 +144,7 @@
             has_crashed=end.has_crashed,
             rate_limit=end.rate_limit,
             relay=end.relay,
+            rest=end.rest,
+            is_leaving=end.is_leaving,
         )
     )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -393,6 +393,10 @@
                 "zinniastand_target_limits_unreadable_total",
                 self._client.malformed_limits,
             ),
+            (
+                "zinniastand_target_rests_unreadable_total",
+                self._client.malformed_rests,
+            ),
             ("zinniastand_configuration_version", self._configuration_state.version),
             ("zinniastand_requests_quarantined", self._suspects.count_quarantined()),
             ("zinniastand_store_era", self._store.era),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/header_names.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/header_names.py
@@ -30,3 +30,6 @@
 
     not_run: bytes
     """On a target's answer: the target did not run the request."""
+
+    leaving: bytes
+    """On a target's answer: the target is leaving and wants no more requests."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_recorder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_recorder.py
@@ -61,6 +61,13 @@
     relay: str = ""
     """VM that relayed the connection; empty for a direct one."""
 
+    rest: float | None = None
+    """Seconds for which the target wants no requests of this VM; None if its answer
+    asks for no rest."""
+
+    is_leaving: bool = False
+    """Whether the target's answer states that it is leaving."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerRecord:
@@ -169,7 +176,7 @@
 
 
 def _make_target_fields(attempt: AttemptRecord) -> dict[str, log_lines.Value]:
-    """Return the log fields for a crash, a rate limit or a relay, if any."""
+    """Return the log fields that most attempts lack."""
     fields: dict[str, log_lines.Value] = {}
     if attempt.has_crashed:
         fields["crashed"] = True
@@ -177,4 +184,8 @@
         fields["limit"] = attempt.rate_limit
     if attempt.relay:
         fields["relay"] = attempt.relay
+    if attempt.rest is not None:
+        fields["rest_s"] = attempt.rest
+    if attempt.is_leaving:
+        fields["leaving"] = True
     return fields
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 import anyio
@@ -274,47 +275,46 @@
     ) -> plan.NextStep:
         """Send to one target, report and record the end, and return the next step."""
         started_at = anyio.current_time()
-        outcome, why = messages.Outcome.ABANDONED, CALLER_LEFT
-        has_crashed, is_resent, rate_limit, relay = False, False, None, ""
+        end: attempt_ends.AttemptEnd | None = None
         self._held_slots.append(slot)
         self._dependencies.suspects.begin_attempt(self._fingerprint, started_at)
         try:
             attempt = await self._send(target, started_at)
-            outcome, why = attempt_ends.OUTCOMES[attempt.result], attempt.detail
-            if attempt.is_own_path:
-                outcome = messages.Outcome.UNUSED
-            is_resent, rate_limit = attempt.is_resent, attempt.rate_limit
-            relay = attempt.relay
-            cut_at = anyio.current_time()
-            may_have_crashed = attempt.is_cut and not attempt.relay
-            has_crashed = may_have_crashed and await self._dependencies.is_down(
-                target, cut_at
-            )
-            if has_crashed:
-                self._dependencies.suspects.record_crash(
-                    self._fingerprint, target, started_at
-                )
-            elif attempt.is_success:
-                self._dependencies.suspects.record_answer(self._fingerprint)
+            end = attempt_ends.make_end(attempt, anyio.current_time() - started_at)
+            if await self._check_crash(attempt, target, started_at):
+                end = dataclasses.replace(end, has_crashed=True)
         finally:
-            now = anyio.current_time()
-            if outcome is messages.Outcome.ABANDONED:
-                self._plan.abandon_attempt()
-                outcome, why = self._classify_cancellation(now, overdue_at)
-            end = attempt_ends.AttemptEnd(
-                outcome,
-                why,
-                now - started_at,
-                has_crashed,
-                rate_limit,
-                is_resent,
-                relay,
-            )
+            if end is None:
+                end = self._make_cancelled_end(started_at, overdue_at)
             if slot in self._held_slots:
                 self._held_slots.remove(slot)
                 attempt_ends.report(self._dependencies, slot, end)
             attempt_ends.record(self._dependencies, self._logged_request, slot, end)
-        return self._handle_end(attempt, target, now)
+        return self._handle_end(attempt, target, anyio.current_time())
+
+    def _make_cancelled_end(
+        self, started_at: float, overdue_at: float
+    ) -> attempt_ends.AttemptEnd:
+        now = anyio.current_time()
+        self._plan.abandon_attempt()
+        outcome, why = self._classify_cancellation(now, overdue_at)
+        return attempt_ends.AttemptEnd(outcome, why, now - started_at)
+
+    async def _check_crash(
+        self, attempt: target_client.Attempt, target: targets.Entry, started_at: float
+    ) -> bool:
+        """Return whether the target crashed, and record that or its answer."""
+        may_have_crashed = attempt.is_cut and not attempt.relay
+        if may_have_crashed and await self._dependencies.is_down(
+            target, anyio.current_time()
+        ):
+            self._dependencies.suspects.record_crash(
+                self._fingerprint, target, started_at
+            )
+            return True
+        if attempt.is_success:
+            self._dependencies.suspects.record_answer(self._fingerprint)
+        return False
 
     async def _send(self, target: targets.Entry, now: float) -> target_client.Attempt:
         """Send to one target.
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -55,8 +55,18 @@
 whatever content-length they state. A late answer to it, or one that precedes its own,
 would be read with the framing of another method, and so to the wrong end."""
 
-RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
-"""A decimal number without a sign, as in the rate-limit header."""
+DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+"""A decimal number without a sign, as in the headers for rate limits and rests."""
+
+RETRY_AFTER = b"retry-after"
+"""Header in which a target that turns a request away asks for a rest, in seconds."""
+
+REST_STATUSES = frozenset({429, 503})
+"""Statuses with which a target may ask for a rest."""
+
+MAX_REST_S = 60.0
+"""Limit in seconds on a rest, so that a malformed one does not take a target out of use
+for long."""
 
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -90,6 +100,13 @@
     """Requests per second that the target accepts, from its answer. Infinite if the
     answer states no limit; None if there is no answer or its limit is malformed."""
 
+    rest: float | None = None
+    """Seconds for which the target wants no requests of this VM; None if its answer
+    asks for no rest."""
+
+    is_leaving: bool = False
+    """Whether the target's answer states that it is leaving."""
+
     is_cut: bool = False
     """Whether the connection ended before the answer was complete."""
 
@@ -162,6 +179,8 @@
         Number of answers to other requests that were skipped.
     malformed_limits : int
         Number of rate limits in answers that are not a number.
+    malformed_rests : int
+        Number of rests in answers that are not a number.
     unidentified_answers : int
         Number of answers on reused connections that carry no request id. Each counts
         as the answer to the current request, which nothing proves.
@@ -178,6 +197,7 @@
         self.foreign_answers = 0
         self.unidentified_answers = 0
         self.malformed_limits = 0
+        self.malformed_rests = 0
 
     @property
     def opened_connections(self) -> int:
@@ -292,7 +312,10 @@
         try:
             answer = await exchange.run()
             attempt = dataclasses.replace(
-                self._classify(answer), rate_limit=self._read_rate_limit(answer)
+                self._classify(answer),
+                rate_limit=self._read_rate_limit(answer),
+                rest=self._read_rest(answer),
+                is_leaving=answer.find(self._header_names.leaving) == b"1",
             )
             if (
                 not connection.is_new
@@ -367,11 +390,24 @@
         value = answer.find(self._header_names.rate_limit)
         if value is None:
             return math.inf
-        if RATE_PATTERN.fullmatch(value.strip()) is None:
+        if DECIMAL_PATTERN.fullmatch(value.strip()) is None:
             self.malformed_limits += 1
             return None
         return float(value)
 
+    def _read_rest(self, answer: http_exchange.Answer) -> float | None:
+        """Return the seconds of rest that an answer asks for; None if it asks for none.
+
+        A value that is not a number is ignored and counted.
+        """
+        value = answer.find(RETRY_AFTER)
+        if value is None or answer.status not in REST_STATUSES:
+            return None
+        if DECIMAL_PATTERN.fullmatch(value.strip()) is None:
+            self.malformed_rests += 1
+            return None
+        return min(MAX_REST_S, float(value))
+
     async def _return_to_pool(
         self,
         target: targets.Entry,
--- a/tests/edge/test_target_client.py
+++ b/tests/edge/test_target_client.py
@@ -550,3 +550,31 @@
         await attempt(target, client, services.Work.IDEMPOTENT)
         await attempt(target, client, services.Work.IDEMPOTENT)
         assert client.opened_connections == 2
+
+
+REST_VALUES = {
+    "whole seconds": (b"3", 3.0),
+    "fractions": (b"0.25", 0.25),
+    "beyond the limit": (b"86400", target_client.MAX_REST_S),
+    "a date": (b"Fri, 04 Dec 2026 00:00:00 GMT", None),
+    "a sign": (b"-1", None),
+    "nothing": (b"", None),
+}
+
+
+@pytest.mark.parametrize(
+    ("value", "rest"), REST_VALUES.values(), ids=REST_VALUES.keys()
+)
+async def test_rest_that_a_target_asks_for_is_read(
+    value: bytes, rest: float | None
+) -> None:
+    refusal = (
+        b"HTTP/1.1 503 No\r\nX-Request-Id: id-1\r\nX-Not-Executed: 1\r\n"
+        b"Server-Leaving: 1\r\nRetry-After: " + value + b"\r\nContent-Length: 0\r\n\r\n"
+    )
+    client = target_client.TargetClient(wire_names.HEADERS)
+    async with run_target(answer_with(refusal)) as target:
+        found = await attempt(target, client)
+    assert found.rest == rest
+    assert found.is_leaving
+    assert client.malformed_rests == (rest is None)
