--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -55,6 +55,10 @@
         Whether its answers are signed.
     crash_path : bytes or None
         Path of the requests that crash it.
+    rest : bytes or None
+        Rest that its answers with status 503 ask for.
+    is_leaving : bool
+        Whether its answers state that it is leaving.
     limit : float or None
         Requests per second that its answers state as its rate limit.
     arrived : list of float
@@ -75,6 +79,8 @@
         self.is_signed = True
         self.crash_path: bytes | None = None
         self.crash_scope = anyio.CancelScope()
+        self.rest: bytes | None = None
+        self.is_leaving = False
         self.limit: float | None = None
         self.arrived: list[float] = []
         self.ran: list[str] = []
@@ -92,7 +98,10 @@
             self.crash_scope.cancel()
             await anyio.sleep_forever()
         if self.status == 503:
-            return calls.Reply(503, [(wire_names.HEADERS.not_run, b"1")], b"")
+            refusal = [(wire_names.HEADERS.not_run, b"1")]
+            if self.rest is not None:
+                refusal.append((b"retry-after", self.rest))
+            return calls.Reply(503, refusal, b"")
         self.ran.append(request_id)
         self.time_left.append(int(headers[wire_names.HEADERS.time_left]))
         with anyio.CancelScope() as scope:
@@ -103,6 +112,8 @@
         answered = [(wire_names.HEADERS.request_id, request_id.encode())]
         if self.limit is not None:
             answered.append((b"server-limit", str(self.limit).encode()))
+        if self.is_leaving:
+            answered.append((wire_names.HEADERS.leaving, b"1"))
         if self.is_signed:
             answered.append((wire_names.HEADERS.signature, b"signed"))
         body = self.target_id.encode() + b" " + incoming.request.body
