Keep to the rest that a target asks a VM for

Callers got 503 after their requests had been tried at targets that had just asked for rest; a target that had asked a VM for 3 s of it got 3 to 5 requests from it in that time. Cause: nobody read the header; a target that turned work away was left alone for 0.1 s, by all VMs alike. Class: an answer of a target is read for one request and forgotten. A VM remembers rests by target and start, excludes resting targets from its slot requests, looks once more when a slot is granted, and tells the VM that relayed the answer, since the target counts its connections; relays refuse connections to resting targets. Other VMs go on using the target: the rest is asked of one VM.

--- a/bench/retry_vms.py
+++ b/bench/retry_vms.py
@@ -15,6 +15,7 @@
 
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages
+from zinniastand_core.forwarding import target_notices
 from zinniastand_platform import wire_names
 from zinniastand_proxy.edge import (
     calls,
@@ -24,6 +25,7 @@
     local_dispatchers,
     log_lines,
     members,
+    notice_exchange,
     peer_link,
     placement,
     ports,
@@ -191,11 +193,18 @@
         self.local_dispatchers.update_targets(now)
         self.placement = placement.Placement(self.members, link, log, rng)
         self.placement.use_local_dispatchers(self.local_dispatchers)
+        self._notices = notice_exchange.NoticeExchange(
+            target_notices.TargetNotices(),
+            fleet.registry,
+            self.members,
+            typing.cast(peer_link.PeerLink, link),
+        )
         receivers = fleet_messenger.Receivers(
             self.local_dispatchers,
             typing.cast(knowledge_keeper.KnowledgeKeeper, _EmptyKnowledgeKeeper()),
             self.placement,
             typing.cast(suspect_exchange.SuspectExchange, _NoSuspects()),
+            self._notices,
         )
         self.messenger = fleet_messenger.FleetMessenger(
             self.members, link, receivers, log, _raise_error
@@ -220,6 +229,7 @@
             lambda: f"{own.vm}:{own.incarnation}:{next(numbers)}",
             _NoSuspects(),
             fleet.is_down,
+            self._notices,
             lambda: None,
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/attempt_ends.py
@@ -88,10 +88,9 @@
 
 def make_end(attempt: target_client.Attempt, duration: float) -> AttemptEnd:
     """Return how an attempt ended that was not cancelled."""
-    # For want of a path, nothing was sent, and nothing is known about the target.
-    outcome = (
-        messages.Outcome.UNUSED if attempt.is_own_path else OUTCOMES[attempt.result]
-    )
+    outcome = OUTCOMES[attempt.result]
+    if not attempt.is_evidence:
+        outcome = messages.Outcome.UNUSED
     return AttemptEnd(
         outcome,
         attempt.detail,
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -187,6 +187,20 @@
     """Fingerprint and record of each request."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target has told the sender over a connection that the receiver relays."""
+
+    target_id: str
+    """Id of the target."""
+
+    born: int
+    """Start of the target."""
+
+    rest: float
+    """Seconds for which it wants no requests."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryUsage:
     """The sender's counts of the requests and retries of a service."""
@@ -229,6 +243,7 @@
     | SlotHeld
     | SuspectRequests
     | RetryUsage
+    | TargetNotice
     | messages.Grant
     | messages.Refuse
     | messages.Wait
@@ -306,6 +321,8 @@
         case RetryUsage():
             counts = retry_codec.pack(message.counts)
             return ["t", message.service, counts, message.is_complete]
+        case TargetNotice():
+            return ["x", *dataclasses.astuple(message)]
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
@@ -347,6 +364,9 @@
         case "t":
             counts = retry_codec.unpack(rest[1])
             return RetryUsage(str(rest[0]), counts, rest[2] is True)
+        case "x":
+            target_id, born, seconds = rest
+            return TargetNotice(str(target_id), int(born), float(seconds))
         case "g":
             return messages.Grant(*rest)
         case "r":
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -13,7 +13,7 @@
 
 from zinniastand_core.deployment import configuration, routing, targets
 from zinniastand_core.dispatch import messages
-from zinniastand_core.forwarding import target_links
+from zinniastand_core.forwarding import target_links, target_notices
 from zinniastand_core.quarantine import quarantine
 
 from .. import metrics
@@ -30,6 +30,7 @@
     local_dispatchers,
     log_lines,
     members,
+    notice_exchange,
     pages,
     peer_link,
     peer_server,
@@ -266,7 +267,11 @@
             self._resignation,
         )
         receivers = fleet_messenger.Receivers(
-            self._local_dispatchers, self._keeper, self._placement, self._suspects
+            self._local_dispatchers,
+            self._keeper,
+            self._placement,
+            self._suspects,
+            self._notice_exchange,
         )
         self._messenger = fleet_messenger.FleetMessenger(
             self._fleet, self._link, receivers, self._log, self._report_fault
@@ -280,6 +285,7 @@
             self._placement,
             self._client,
             self._suspects,
+            self._notice_exchange,
             self._platform_headers,
             self._log,
             self.metrics,
@@ -299,7 +305,11 @@
             self._links, self._registry, self._log, self._rng
         )
         self._relay_server = relay_server.RelayServer(
-            self._fleet, self._registry, self._direct_connector, self._log
+            self._fleet,
+            self._registry,
+            self._direct_connector,
+            self._notices,
+            self._log,
         )
         self._relays = relay_client.RelayClient(self._fleet, self._rng)
         return relaying_connector.RelayingConnector(
@@ -338,6 +348,10 @@
         self._suspects = suspect_exchange.SuspectExchange(
             quarantine.Quarantine(), self._fleet, self._link, log, self._rng
         )
+        self._notices = target_notices.TargetNotices()
+        self._notice_exchange = notice_exchange.NoticeExchange(
+            self._notices, self._registry, self._fleet, self._link
+        )
         return own
 
     def _build_servers(self, handler: calls.Handler) -> None:
@@ -443,6 +457,7 @@
         self._keeper.compensate_suspension(seconds)
         self._client.expire_idle()
         self._suspects.compensate_suspension(seconds)
+        self._notices.compensate_suspension(seconds)
         self._local_dispatchers.reset()
         self._fleet.restart_settling(anyio.current_time())
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
@@ -15,6 +15,7 @@
     local_dispatchers,
     log_lines,
     members,
+    notice_exchange,
     peer_link,
     placement,
     supervision,
@@ -70,6 +71,9 @@
     suspects: suspect_exchange.SuspectExchange
     """Requests that are suspected to crash their targets."""
 
+    notices: notice_exchange.NoticeExchange
+    """What targets have told."""
+
 
 class FleetMessenger:
     """Exchanges messages with the other VMs.
@@ -143,6 +147,8 @@
                 self._receivers.local_dispatchers.apply_retry_counts(message, now)
             case datagrams.SuspectRequests():
                 self._receivers.suspects.apply(message)
+            case datagrams.TargetNotice():
+                self._receivers.notices.apply(message)
             case messages.Report():
                 self._receivers.local_dispatchers.report(message, now)
             case messages.Grant() | messages.Refuse() | messages.Wait():
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -65,6 +65,9 @@
     suspects: ports.SuspectRecord
     """Record of requests suspected of crashing their targets."""
 
+    notices: ports.NoticeRecord
+    """What targets have told this VM in their answers."""
+
     platform_headers: header_names.HeaderNames
     """Names of the platform's headers."""
 
@@ -126,6 +129,7 @@
             self._make_ticket,
             dependencies.suspects,
             crash_check.CrashCheck(dependencies.can_connect_elsewhere).is_down,
+            dependencies.notices,
             dependencies.check_suspension,
         )
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -152,6 +152,24 @@
         ...
 
 
+class NoticeRecord(typing.Protocol):
+    """Record of what targets have told this VM in their answers."""
+
+    def wants_requests(self, target: targets.Entry, now: float) -> bool:
+        """Return whether a target wants requests of this VM."""
+        ...
+
+    def list_excluded(self, now: float) -> tuple[str, ...]:
+        """Return the targets that want no requests of this VM."""
+        ...
+
+    def record_answer(
+        self, target: targets.Entry, attempt: target_client.Attempt
+    ) -> None:
+        """Record what a target has told in an answer."""
+        ...
+
+
 class TargetExchange(typing.Protocol):
     """Sends requests over connections to targets."""
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_client.py
@@ -99,6 +99,7 @@
         self, target: targets.Entry, time_left: float
     ) -> target_connector.TargetStream:
         unreachable_replies = 0
+        is_resting = False
         for relay in self._list_relays(target, anyio.current_time()):
             opened = await self._ask(relay, target, time_left)
             if isinstance(opened, target_connector.TargetStream):
@@ -110,7 +111,14 @@
                 if unreachable_replies == MAX_UNREACHABLE_REPLIES:
                     raise target_connector.UnreachableError("unreachable for relays")
                 continue
+            if opened is relay_messages.RefusalReason.RESTING:
+                is_resting = True
+                continue
             self._exclude(relay.vm, opened)
+        if is_resting:
+            raise target_connector.UnreachableError(
+                "resting for relays", is_evidence=False
+            )
         raise NoRelayError("no relay")
 
     def _exclude(self, vm: str, reason: relay_messages.RefusalReason | None) -> None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_messages.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_messages.py
@@ -57,6 +57,9 @@
     UNREACHABLE = "unreachable"
     """The relaying VM cannot connect to this target."""
 
+    RESTING = "resting"
+    """The target has told the relaying VM that it wants no requests now."""
+
     BUSY = "busy"
     """The relaying VM relays as many connections as it may."""
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_server.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_server.py
@@ -11,6 +11,7 @@
 import anyio.abc
 
 from zinniastand_core.deployment import targets
+from zinniastand_core.forwarding import target_notices
 
 from . import log_lines, members, relay_messages, target_connector
 
@@ -58,6 +59,8 @@
         Targets known to this VM.
     direct : LinkedConnector
         Opens direct connections.
+    notices : target_notices.TargetNotices
+        Targets that want no requests of this VM.
     log : log_lines.LogLines
         Logs refusals.
 
@@ -76,11 +79,13 @@
         fleet: members.Members,
         registry: targets.Registry,
         direct: LinkedConnector,
+        notices: target_notices.TargetNotices,
         log: log_lines.LogLines,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._direct = direct
+        self._notices = notices
         self._log = log
         self._refusal_logged_at = float("-inf")
         self.is_stopping = False
@@ -132,6 +137,8 @@
         target = self._registry.find_usable(request.target_id)
         if target is None:
             raise _RefusedError(Reason.UNKNOWN_TARGET)
+        if self._notices.find_end(target, anyio.current_time()) is not None:
+            raise _RefusedError(Reason.RESTING)
         if self._direct.has_lost_service(target.service):
             raise _RefusedError(Reason.NO_LINK)
         if not self._direct.has_direct_link(target):
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -179,12 +179,13 @@
             return self._plan.give_up()
         target = self._dependencies.registry.find_usable(slot.grant.target_id)
         self._plan.start_attempt(slot.grant.target_id)
-        if target is None:
+        now = anyio.current_time()
+        if target is None or not self._dependencies.notices.wants_requests(target, now):
             # Either this VM does not know the target yet, or the dispatcher does not
             # know that the target is leaving. Without this check, a dispatcher cut off
-            # from the store would make every VM send work to leaving targets.
+            # from the store would make every VM send work to leaving targets. Or the
+            # target has told this VM meanwhile that it wants no requests.
             attempt_ends.report(self._dependencies, slot, attempt_ends.UNUSED)
-            now = anyio.current_time()
             return self._plan.end_attempt(plan.AttemptResult.UNREACHABLE, now)
         overdue_at = self._find_overdue_at(slot.grant, anyio.current_time())
         if overdue_at < math.inf:
@@ -280,6 +281,7 @@
         self._dependencies.suspects.begin_attempt(self._fingerprint, started_at)
         try:
             attempt = await self._send(target, started_at)
+            self._dependencies.notices.record_answer(target, attempt)
             end = attempt_ends.make_end(attempt, anyio.current_time() - started_at)
             if await self._check_crash(attempt, target, started_at):
                 end = dataclasses.replace(end, has_crashed=True)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_dependencies.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_dependencies.py
@@ -50,6 +50,9 @@
     """Returns whether a target refuses connections after it broke off an answer; takes
     the target and the time at which the answer broke off."""
 
+    notices: ports.NoticeRecord
+    """What targets have told this VM in their answers."""
+
     check_suspension: collections.abc.Callable[[], None]
     """Detects a suspension of this VM, and then shortens all deadlines by its
     duration."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_messages.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_messages.py
@@ -10,6 +10,7 @@
 
 from . import (
     calls,
+    datagrams,
     header_names,
     http_exchange,
     run_dependencies,
@@ -30,7 +31,14 @@
     now: float,
 ) -> messages.SlotRequest:
     """Return the slot request for a target of a service."""
-    unreachable = dependencies.unreachable.list_current(now)
+    # Those of the request come first, since the list is limited.
+    excluded = dict.fromkeys(
+        (
+            *request_plan.excluded,
+            *dependencies.notices.list_excluded(now),
+            *dependencies.unreachable.list_current(now),
+        )
+    )
     return messages.SlotRequest(
         ticket=dependencies.make_ticket(),
         shard=shards.Shard(service),
@@ -41,7 +49,7 @@
         deadline_at=request_plan.deadlines.deadline_at,
         attempt=request_plan.committed + 1,
         data_centre=dependencies.data_centre,
-        excluded=tuple(sorted({*request_plan.excluded, *unreachable})),
+        excluded=tuple(excluded)[: datagrams.MAX_LISTED_TARGETS],
         connected_targets=tuple(
             _list_connected_targets(dependencies, route, service, now)
         ),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_client.py
@@ -119,6 +119,9 @@
     is_own_path: bool = False
     """Whether no connection was opened since this VM has no path to any target."""
 
+    is_evidence: bool = True
+    """Whether a failed connection may be the fault of the target."""
+
     excludes_target: bool = False
     """Whether this VM should not try the target again for some time."""
 
@@ -237,6 +240,7 @@
                 None,
                 str(error),
                 is_own_path=error.is_own_path,
+                is_evidence=error.is_evidence,
                 excludes_target=error.excludes_target,
             )
         is_reused = not connection.is_new
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_connector.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/target_connector.py
@@ -38,13 +38,21 @@
         nothing about the target.
     excludes_target : bool, optional
         Whether this VM should not try the target again for some time.
+    is_evidence : bool, optional
+        Whether this may be the fault of the target.
     """
 
     def __init__(
-        self, detail: str, *, is_own_path: bool = False, excludes_target: bool = True
+        self,
+        detail: str,
+        *,
+        is_own_path: bool = False,
+        excludes_target: bool = True,
+        is_evidence: bool = True,
     ) -> None:
         super().__init__(detail)
         self.is_own_path = is_own_path
+        self.is_evidence = is_evidence and not is_own_path
         self.excludes_target = excludes_target and not is_own_path
 
 
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -16,6 +16,7 @@
 import vm_partition
 
 from zinniastand_core.deployment import targets
+from zinniastand_core.forwarding import target_notices
 from zinniastand_proxy.edge import (
     log_lines,
     members,
@@ -97,7 +98,11 @@
         os.set_blocking(reader, False)
         log = log_lines.LogLines("relay", writer)
         server = relay_server.RelayServer(
-            fleet, registry, LinkedConnector(lost_services), log
+            fleet,
+            registry,
+            LinkedConnector(lost_services),
+            target_notices.TargetNotices(),
+            log,
         )
 
         async def handle(stream: anyio.abc.SocketStream) -> None:
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -135,6 +135,23 @@
         return target_client.Attempt(script.result, answer, str(status))
 
 
+class NoNotices:
+    """Targets that have told nothing."""
+
+    def wants_requests(self, target: targets.Entry, now: float) -> bool:
+        """Return True: every target wants requests."""
+        return True
+
+    def list_excluded(self, now: float) -> tuple[str, ...]:
+        """Return no targets."""
+        return ()
+
+    def record_answer(
+        self, target: targets.Entry, attempt: target_client.Attempt
+    ) -> None:
+        """Ignore an answer."""
+
+
 class NoSuspects:
     """Suspect records that contain no request."""
 
@@ -204,6 +221,7 @@
         lambda: "ticket",
         NoSuspects(),
         exchange.is_down,
+        NoNotices(),
         lambda: None,
     )
 
