Send no more requests to targets whose answers say that they are leaving

A VM that does not hear of a target's state from the store would go on sending to it for longer than the two seconds allowed, though the target says so in each answer. Cause: nobody read the header. Class: an answer of a target is read for one request and forgotten. Such a target is kept out for this VM, and for the VM that relayed its answer, like one that rests, until its entry goes or it starts anew. test_target_that_says_that_it_is_leaving_gets_no_more_requests failed before.

--- a/packages/zinniastand-core/src/zinniastand_core/forwarding/target_notices.py
+++ b/packages/zinniastand-core/src/zinniastand_core/forwarding/target_notices.py
@@ -1,4 +1,4 @@
-"""Rests that targets have asked this VM for in their answers."""
+"""What targets have told this VM in their answers: rests, and that they are leaving."""
 
 from __future__ import annotations
 
@@ -6,6 +6,10 @@
 
 from ..deployment import targets
 
+LEAVING_RETENTION_S = 60.0
+"""Seconds for which a target counts as leaving after it has stated that last. By then
+it has left, or its entry in the store tells its state."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Notice:
@@ -28,6 +32,10 @@
         """Record that a target wants no requests until a time."""
         self._extend(target, until)
 
+    def record_leaving(self, target: targets.Entry, now: float) -> None:
+        """Record that a target is leaving."""
+        self._extend(target, now + LEAVING_RETENTION_S)
+
     def find_end(self, target: targets.Entry, now: float) -> float | None:
         """Return until when a target wants no requests; None if it may get some."""
         notice = self._notices.get(target.target_id)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -198,7 +198,10 @@
     """Start of the target."""
 
     rest: float
-    """Seconds for which it wants no requests."""
+    """Seconds for which it wants no requests; 0 if it asked for no rest."""
+
+    is_leaving: bool
+    """Whether it is leaving."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -365,8 +368,10 @@
             counts = retry_codec.unpack(rest[1])
             return RetryUsage(str(rest[0]), counts, rest[2] is True)
         case "x":
-            target_id, born, seconds = rest
-            return TargetNotice(str(target_id), int(born), float(seconds))
+            target_id, born, seconds, is_leaving = rest
+            return TargetNotice(
+                str(target_id), int(born), float(seconds), is_leaving is True
+            )
         case "g":
             return messages.Grant(*rest)
         case "r":
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/notice_exchange.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/notice_exchange.py
@@ -63,13 +63,15 @@
         self, target: targets.Entry, attempt: target_client.Attempt
     ) -> None:
         """Record what a target has told in an answer, and tell its relay."""
-        if attempt.rest is None:
+        if attempt.rest is None and not attempt.is_leaving:
             return
-        rest = attempt.rest
-        self._record(target, rest)
+        rest = attempt.rest or 0.0
+        self._record(target, rest, attempt.is_leaving)
         relay = self._fleet.find(attempt.relay) if attempt.relay else None
         if relay is not None:
-            notice = datagrams.TargetNotice(target.target_id, target.born, rest)
+            notice = datagrams.TargetNotice(
+                target.target_id, target.born, rest, attempt.is_leaving
+            )
             self._link.send(notice, relay)
 
     def apply(self, notice: datagrams.TargetNotice) -> None:
@@ -79,8 +81,10 @@
             return
         if math.isfinite(notice.rest):
             rest = min(notice.rest, target_client.MAX_REST_S)
-            self._record(target, rest)
+            self._record(target, rest, notice.is_leaving)
 
-    def _record(self, target: targets.Entry, rest: float) -> None:
+    def _record(self, target: targets.Entry, rest: float, is_leaving: bool) -> None:
         now = anyio.current_time()
         self._notices.record_rest(target, now + rest)
+        if is_leaving:
+            self._notices.record_leaving(target, now)
--- a/tests/edge/test_rests.py
+++ b/tests/edge/test_rests.py
@@ -123,3 +123,17 @@
         await wait_until_called(cut, lambda: bool(tired.arrived))
         await call_until(relay, tired.arrived[0] + REST_S)
         assert count_in_rest(tired) <= MAX_REQUESTS_IN_REST
+
+
+async def test_target_that_says_that_it_is_leaving_gets_no_more_requests() -> None:
+    # Guards against sending requests to a leaving target whose state in the store did
+    # not reach this VM.
+    async with edge_site.run_site() as site:
+        [vm] = await start_vms(site, 1)
+        leaving = site.targets["t0"]
+        leaving.is_leaving = True
+        await wait_until_called(vm, lambda: bool(leaving.arrived))
+        told_at = leaving.arrived[0]
+        statuses = await call_until(vm, told_at + DRAIN_BOUND_S + 1.0)
+        assert statuses == {200}
+        assert all(at <= told_at + DRAIN_BOUND_S for at in leaving.arrived)
--- a/tests/forwarding/test_target_notices.py
+++ b/tests/forwarding/test_target_notices.py
@@ -39,3 +39,10 @@
     notices.record_rest(TARGET, 3.0)
     notices.compensate_suspension(2.0)
     assert notices.find_end(TARGET, 1.0) is None
+
+
+def test_target_that_is_leaving_gets_no_requests_after_its_rest() -> None:
+    notices = target_notices.TargetNotices()
+    notices.record_leaving(TARGET, 0.0)
+    notices.record_rest(TARGET, 3.0)
+    assert notices.find_end(TARGET, 10.0) is not None
