Move the gauges of relays and retries out of the daemon, and bound probes of lost links

Eight links at most are tried one after the other before the next interval, so that a healed partition from hundreds of targets makes no burst of connections. Tests share the start of a partitioned pair. No other change of behaviour.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
@@ -51,3 +51,12 @@
             for name, value in fields.items():
                 gauge = f"zinniastand_dispatch_{name}"
                 self._counters.set_gauge(gauge, value, labels)
+
+    def report_retries(self, now: float) -> None:
+        """Set the gauges of the retry totals of each service."""
+        for service in self._dispatchers.list_services():
+            totals = self._dispatchers.retries.find_totals(service, now)
+            labels = metrics.label(service=service)
+            for field in dataclasses.fields(totals):
+                name = f"zinniastand_retry_{field.name}"
+                self._counters.set_gauge(name, getattr(totals, field.name), labels)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -37,6 +37,7 @@
     placement,
     ports,
     relay_client,
+    relay_reporter,
     relay_server,
     relaying_connector,
     resignation,
@@ -300,9 +301,9 @@
         self._build_servers(self._forwarder)
 
     def _build_connector(self) -> relaying_connector.RelayingConnector:
-        self._links = target_links.TargetLinks()
+        links = target_links.TargetLinks()
         self._direct_connector = relaying_connector.WatchedConnector(
-            self._links, self._registry, self._log, self._rng
+            links, self._registry, self._log, self._rng
         )
         self._relay_server = relay_server.RelayServer(
             self._fleet,
@@ -311,10 +312,11 @@
             self._notices,
             self._log,
         )
-        self._relays = relay_client.RelayClient(self._fleet, self._rng)
-        return relaying_connector.RelayingConnector(
-            self._direct_connector, self._relays
+        relays = relay_client.RelayClient(self._fleet, self._rng)
+        self._relay_reporter = relay_reporter.RelayReporter(
+            links, relays, self._relay_server, self.metrics
         )
+        return relaying_connector.RelayingConnector(self._direct_connector, relays)
 
     def _build_fleet(self) -> ports.Member:
         """Build what takes part in the fleet; return the entry of this VM."""
@@ -418,35 +420,11 @@
             ("zinniastand_datagrams_unsent_total", self._link.unsent),
         ):
             self.metrics.set_gauge(name, value)
-        self._set_relay_metrics()
-        self._set_retry_metrics()
+        self._relay_reporter.report()
+        self._dispatch_reporter.report_retries(anyio.current_time())
         body = self.metrics.format_text().encode()
         return calls.Reply(200, [(b"content-type", b"text/plain")], body)
 
-    def _set_relay_metrics(self) -> None:
-        """Set the metrics of lost links and of relayed connections."""
-        for name, value in (
-            ("zinniastand_links_lost", len(self._links.lost_targets)),
-            ("zinniastand_services_without_links", len(self._links.lost_services)),
-            ("zinniastand_relays_in_flight", self._relay_server.in_flight),
-            ("zinniastand_relays_carried_total", self._relay_server.relayed),
-            ("zinniastand_relays_used_total", self._relays.used),
-        ):
-            self.metrics.set_gauge(name, value)
-        for reason, count in self._relay_server.refused.items():
-            labels = metrics.label(reason=reason.value)
-            self.metrics.set_gauge("zinniastand_relays_refused_total", count, labels)
-
-    def _set_retry_metrics(self) -> None:
-        """Set the metrics of the retry totals of each service."""
-        now = anyio.current_time()
-        for service in self._local_dispatchers.list_services():
-            totals = self._local_dispatchers.retries.find_totals(service, now)
-            labels = metrics.label(service=service)
-            for field in dataclasses.fields(totals):
-                name = f"zinniastand_retry_{field.name}"
-                self.metrics.set_gauge(name, getattr(totals, field.name), labels)
-
     def _handle_suspension(self, seconds: float) -> None:
         """Correct all deadlines and reset outdated state after a suspension.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relaying_connector.py
@@ -18,6 +18,9 @@
 """Seconds between two attempts to find out whether a lost link works again. Meanwhile
 requests are relayed, so that nothing depends on noticing it sooner."""
 
+MAX_PROBES = 8
+"""Links that are found to work again one after the other, before the next interval."""
+
 PROBED_TARGETS = 2
 """Targets that are connected to in order to tell a lost link from a target that is
 down."""
@@ -155,8 +158,10 @@
             self._links.keep_only(
                 {entry.target_id for entry in self._registry.list_entries()}
             )
-            while (target := self._choose_lost(turn)) and await self._probe(target):
-                continue
+            for _ in range(MAX_PROBES):
+                target = self._choose_lost(turn)
+                if target is None or not await self._probe(target):
+                    break
 
     def _choose_lost(self, turn: int) -> targets.Entry | None:
         """Return a target to probe: of a lost service in turn, or any lost one."""
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -284,22 +284,33 @@
             await closed.wait()
 
 
+async def start_partitioned(
+    site: edge_site.Site, monkeypatch: pytest.MonkeyPatch, work_time: float
+) -> tuple[edge_site.Vm, edge_site.Vm]:
+    """Start a VM without links to targets, and one that relays for it.
+
+    `work_time` is how long targets work on later requests, in seconds.
+    """
+    for name in ("t1", "t2", "t3"):
+        await site.start_target(edge_site.Target(name))
+    links = vm_partition.VmPartition(
+        monkeypatch, lambda: {target.port for target in site.targets.values()}
+    )
+    cut, relay = [await site.start_vm(name) for name in ("vm-1", "vm-2")]
+    for vm in (cut, relay):
+        await edge_site.wait_ready(vm)
+    links.begin(["vm-1"], partition.Cut.RESET)
+    assert (await edge_site.call(cut)).status_code == 200
+    for target in site.targets.values():
+        target.delay = work_time
+    return cut, relay
+
+
 async def test_stop_waits_for_relayed_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against a planned stop of a VM cutting off the requests that it relays.
     async with edge_site.run_site() as site:
         site.publish([edge_site.make_route()])
-        for name in ("t1", "t2", "t3"):
-            await site.start_target(edge_site.Target(name))
-        links = vm_partition.VmPartition(
-            monkeypatch, lambda: {target.port for target in site.targets.values()}
-        )
-        cut, relay = [await site.start_vm(name) for name in ("vm-1", "vm-2")]
-        for vm in (cut, relay):
-            await edge_site.wait_ready(vm)
-        links.begin(["vm-1"], partition.Cut.RESET)
-        assert (await edge_site.call(cut)).status_code == 200
-        for target in site.targets.values():
-            target.delay = 1.0
+        cut, relay = await start_partitioned(site, monkeypatch, work_time=1.0)
         statuses: list[int] = []
 
         async def send() -> None:
@@ -319,18 +330,7 @@
 ) -> None:
     async with edge_site.run_site() as site:
         site.publish([edge_site.make_route(kind="safe", timeout_ms=60_000)])
-        for name in ("t1", "t2", "t3"):
-            await site.start_target(edge_site.Target(name))
-        links = vm_partition.VmPartition(
-            monkeypatch, lambda: {target.port for target in site.targets.values()}
-        )
-        cut, relay = [await site.start_vm(name) for name in ("vm-1", "vm-2")]
-        for vm in (cut, relay):
-            await edge_site.wait_ready(vm)
-        links.begin(["vm-1"], partition.Cut.RESET)
-        assert (await edge_site.call(cut)).status_code == 200
-        for target in site.targets.values():
-            target.delay = 60.0
+        cut, _ = await start_partitioned(site, monkeypatch, work_time=60.0)
 
         async def send() -> None:
             await edge_site.call(cut, request_id="left", time_left=60_000)
