Ask suspected VMs to relay where there is no other

Callers of a partitioned VM saw 503 "no relay" though two VMs had links: both had been slow to answer a datagram, and a VM suspected for that was not asked.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/members.py
@@ -186,12 +186,16 @@
         """Return all other VMs, including suspected ones."""
         return [other for other in self._members.values() if other.vm != self.own.vm]
 
-    def list_active(self, now: float) -> list[ports.Member]:
-        """Return the other VMs that are reachable and not leaving."""
+    def list_remaining(self) -> list[ports.Member]:
+        """Return the other VMs that are not leaving, including suspected ones."""
         return [
-            other for other in self.list_others() if self._is_reachable(other.vm, now)
+            other for other in self.list_others() if other.vm not in self._leaving_until
         ]
 
+    def is_reachable(self, vm: str, now: float) -> bool:
+        """Return whether a VM is neither suspected nor leaving."""
+        return self._is_reachable(vm, now)
+
     def list_suspects(self, now: float) -> list[ports.Member]:
         """Return the VMs that did not answer and those that never sent a message.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_client.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/relay_client.py
@@ -134,10 +134,13 @@
             self._current = ""
 
     def _list_relays(self, target: targets.Entry, now: float) -> list[ports.Member]:
-        """Return the VMs to ask, in this order."""
+        """Return the VMs to ask, in this order.
+
+        A VM that was slow to answer a datagram is suspected, and may still relay.
+        """
         candidates = [
             member
-            for member in self._fleet.list_active(now)
+            for member in self._fleet.list_remaining()
             if self._excluded_until.get(member.vm, 0.0) <= now
         ]
         self._rng.shuffle(candidates)
@@ -145,6 +148,7 @@
         candidates.sort(
             key=lambda member: (
                 member.vm != self._current,
+                not self._fleet.is_reachable(member.vm, now),
                 near.index(member.data_centre) if member.data_centre in near else 2,
             )
         )
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 import os
+import random
 
 import anyio
 import anyio.abc
@@ -21,6 +22,7 @@
     log_lines,
     members,
     ports,
+    relay_client,
     relay_messages,
     relay_server,
     target_connector,
@@ -207,6 +209,28 @@
         assert await read_refusal(await ask(relay, GOOD_REQUEST)) is Reason.NO_LINK
 
 
+async def test_suspected_vm_is_asked_where_there_is_no_other() -> None:
+    # Guards against refusing callers since the only VM with links was slow to answer a
+    # datagram.
+    async def echo(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(await stream.receive())
+
+    async with run_relay(echo) as relay:
+        now = anyio.current_time()
+        fleet = members.Members(ports.Member("vm-1", "a", HOST, 2, 1), now)
+        fleet.add(ports.Member("relay", "a", HOST, relay.port, 1))
+        fleet.record_contact("relay", now)
+        fleet.suspect("relay", now)
+        entry = targets.Entry(
+            "t1", "desk", HOST, 1, "a", 4, targets.Phase.READY, 1, 0.0, 1
+        )
+        client = relay_client.RelayClient(fleet, random.Random(1))
+        opened = await client.connect(entry, 5.0)
+        assert opened.relay == "relay"
+        await opened.stream.send(b"hello")
+        assert await opened.stream.receive() == b"hello"
+
+
 async def test_stopping_relay_refuses_new_connections() -> None:
     async with run_relay(wait_for_close) as relay:
         relay.server.is_stopping = True
