--- a/soak/plants.py
+++ b/soak/plants.py
@@ -202,7 +202,7 @@
                 SUSPECT_PATH, f"{CRASH_LIMIT_NAME} = 3", f"{CRASH_LIMIT_NAME} = 1"
             ),
             Replacement(
-                f"{EDGE_PATH}/request_run.py", "elif attempt.is_success:", "elif False:"
+                f"{EDGE_PATH}/request_run.py", "if attempt.is_success:", "if False:"
             ),
         ),
         plan.Kind.CRASHES,
