Log what a dispatcher knows of a service's retries

Cause: logs named the dispatcher of each retry, and nothing said what that dispatcher took as granted by others, or whose counts allowed it. The hypotheses of the incident (several side by side, one that wrongly takes itself for informed, two that do not hear each other) left the same logs.

Change: the line `dispatching` has the scope of counts, the slack, retries granted here, known within the window, and left. No decision changes.

Result: tests/edge/test_dispatch_reporter.py.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_window.py
@@ -164,6 +164,11 @@
         self.refunded = 0
         """Retries that were refunded."""
 
+    @property
+    def known_retries(self) -> int:
+        """Retries within the window when it was last asked how many are left."""
+        return self._spent
+
     def set_bounds(self, ratio: float, span: float, now: float) -> None:
         """Change the bounds; counts are kept."""
         if span != self._span:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
@@ -46,7 +46,9 @@
         """Write one line for each busy dispatcher, and set its gauges."""
         for shard, summary in self._dispatchers.summarize(now):
             fields = dataclasses.asdict(summary)
-            self._log.write("dispatching", shard=shard.task, **fields)
+            retries = self._dispatchers.retries.summarize(shard.service, now)
+            known = {f"retry_{k}": v for k, v in dataclasses.asdict(retries).items()}
+            self._log.write("dispatching", shard=shard.task, **fields, **known)
             labels = metrics.label(shard=shard.task)
             for name, value in fields.items():
                 gauge = f"zinniastand_dispatch_{name}"
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_counts.py
@@ -92,6 +92,26 @@
     """Retries that may still be granted now."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetrySummary:
+    """What this VM knows of the retries of a service when it grants one."""
+
+    scope: str
+    """Whose counts allow retries; a name of `retry_window.CountScope`."""
+
+    slack: float
+    """Retries that may be granted beyond the ratio of requests."""
+
+    own: int
+    """Retries granted here since the start."""
+
+    known: int
+    """Retries within the window that are known here, with those of others."""
+
+    left: float
+    """Retries that may still be granted now."""
+
+
 class RetryCounts:
     """Counts for all services that this VM dispatches or may have to dispatch.
 
@@ -259,6 +279,18 @@
             round(left, 1),
         )
 
+    def summarize(self, service: str, now: float) -> RetrySummary:
+        """Return what this VM knows of the retries of a service."""
+        window = self.open(service, now)
+        left = window.find_remaining(now)
+        return RetrySummary(
+            self._choose_count_scope(service).name.lower(),
+            round(self._find_slack(service), 1),
+            window.retries,
+            window.known_retries,
+            round(left, 1),
+        )
+
     def count_requests(self, service: str) -> int:
         """Return the number of requests of a service counted here."""
         window = self._windows.get(service)
--- a/tests/edge/test_dispatch_reporter.py
+++ b/tests/edge/test_dispatch_reporter.py
@@ -38,6 +38,7 @@
         retry_counts.RetryBudget(0.2, 50.0, 10.0),
         random.Random(1),
         lambda vm, decision: None,
+        is_new_fleet=True,
     )
     request = messages.SlotRequest(
         "k1", shards.Shard("desk"), "r", False, 1, now + 5, now + 9, 1, "a"
@@ -53,4 +54,6 @@
     line = json.loads(os.read(reader, 10_000))
     fields = ("event", "targets", "free", "paused", "in_flight", "queued", "unservable")
     assert [line[name] for name in fields] == ["dispatching", 1, 0, 0, 1, 1, 0]
+    retry_fields = ("retry_scope", "retry_own", "retry_known")
+    assert [line[name] for name in retry_fields] == ["all", 0, 0]
     assert "zinniastand_dispatch_queued{" in counters.format_text()
