Limit the retries of each VM by a ledger of its own

Cause: dispatchers grant what the sum of all counts allows that they know of. Two that do not hear each other both grant it, each that does not know of a grant grants it again. What they hold back for that, 0.35 of the slack, has no relation to what may be unknown to them: cuts, restarts and changing shards have no largest value.

Change: the VM that received a request counts it, and what it sends again; it sends a retry only if its own inequality holds for each window. The sum of these inequalities is the limit of the service, whatever is lost, late, killed or rerouted. VMs that have less than a retry left borrow from others, which count what they lend. The limit of the dispatchers stays beside it.

--- a/bench/retry_vms.py
+++ b/bench/retry_vms.py
@@ -32,6 +32,7 @@
     request_recorder,
     request_run,
     retry_counts,
+    retry_limiter,
     run_dependencies,
     suspect_exchange,
     unreachable_targets,
@@ -193,10 +194,11 @@
         link = _Link(fleet, name, data_centre)
         log = log_lines.LogLines(name, fleet.log_fd)
         bound = fleet.load.bound
+        budget = retry_counts.RetryBudget(bound.ratio, bound.slack, bound.span)
         self.local_dispatchers = local_dispatchers.LocalDispatchers(
             self.members,
             fleet.registry,
-            retry_counts.RetryBudget(bound.ratio, bound.slack, bound.span),
+            budget,
             rng,
             self._deliver_decision,
             is_new_fleet=incarnation == FIRST_INCARNATION,
@@ -204,6 +206,14 @@
         self.local_dispatchers.update_targets(now)
         self.placement = placement.Placement(self.members, link, log, rng)
         self.placement.use_local_dispatchers(self.local_dispatchers)
+        self._retry_limiter = retry_limiter.RetryLimiter(
+            self.placement,
+            self.members,
+            link,
+            budget,
+            rng,
+            is_new_fleet=incarnation == FIRST_INCARNATION,
+        )
         self._notices = notice_exchange.NoticeExchange(
             target_notices.TargetNotices(),
             fleet.registry,
@@ -214,6 +224,7 @@
             self.local_dispatchers,
             typing.cast(knowledge_keeper.KnowledgeKeeper, _EmptyKnowledgeKeeper()),
             self.placement,
+            self._retry_limiter,
             typing.cast(suspect_exchange.SuspectExchange, _NoSuspects()),
             self._notices,
         )
@@ -233,7 +244,7 @@
         return run_dependencies.RunDependencies(
             own.vm,
             own.data_centre,
-            self.placement,
+            self._retry_limiter,
             fleet,
             fleet.registry,
             unreachable_targets.UnreachableTargets(),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -16,7 +16,7 @@
 from zinniastand_core.dispatch import messages, retry_window, shards
 from zinniastand_core.quarantine import suspect
 
-from . import ports, retry_codec, suspect_codec
+from . import ports, retry_codec, retry_loans, suspect_codec
 from .accounts import account_messages
 
 
@@ -264,6 +264,7 @@
     | RetryAllowance
     | TargetNotice
     | account_messages.AccountMessage
+    | retry_loans.LoanMessage
     | messages.Grant
     | messages.Refuse
     | messages.Wait
@@ -354,6 +355,12 @@
             | account_messages.QuotaRefunded()
         ):
             return account_messages.pack(message, now)
+        case (
+            retry_loans.LoanRequested()
+            | retry_loans.LoanDecided()
+            | retry_loans.LoanReturned()
+        ):
+            return retry_loans.pack(message)
         case messages.Grant():
             return ["g", *dataclasses.astuple(message)]
         case messages.Refuse():
@@ -371,6 +378,8 @@
     kind, rest = fields[0], fields[1:]
     if kind in account_messages.KINDS:
         return account_messages.unpack(kind, rest, now)
+    if kind in retry_loans.KINDS:
+        return retry_loans.unpack(kind, rest)
     match kind:
         case "h":
             return Hello(ports.Member(*rest[2:]), bool(rest[0]), rest[1])
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
@@ -7,7 +7,7 @@
 import anyio
 
 from .. import metrics
-from . import local_dispatchers, log_lines
+from . import local_dispatchers, log_lines, retry_limiter
 
 REPORT_INTERVAL_S = 1.0
 """Seconds between two reports."""
@@ -62,3 +62,13 @@
             for field in dataclasses.fields(totals):
                 name = f"zinniastand_retry_{field.name}"
                 self._counters.set_gauge(name, getattr(totals, field.name), labels)
+
+
+def report_ledgers(
+    limiter: retry_limiter.RetryLimiter, counters: metrics.Metrics, now: float
+) -> None:
+    """Set the gauges of the retries that this VM sends, lends and borrows."""
+    for service, totals in limiter.find_totals(now).items():
+        labels = metrics.label(service=service)
+        for name, value in dataclasses.asdict(totals).items():
+            counters.set_gauge(f"zinniastand_retry_ledger_{name}", value, labels)
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -44,6 +44,7 @@
     relay_server,
     relaying_connector,
     resignation,
+    retry_limiter,
     stopping,
     supervision,
     suspect_exchange,
@@ -174,9 +175,9 @@
             if getattr(new_settings, field.name) != getattr(self._settings, field.name)
         ]
         self._settings = new_settings
-        self._local_dispatchers.retries.use_budget(
-            new_settings.retries, anyio.current_time()
-        )
+        now = anyio.current_time()
+        self._local_dispatchers.retries.use_budget(new_settings.retries, now)
+        self._retry_limiter.use_budget(new_settings.retries, now)
         self._store.use_address(new_settings.store.host, new_settings.store.port)
         waiting = [name for name in changed if name not in CHANGEABLE_SETTINGS]
         self._log.write("reload", outcome="in force", changed=changed, waiting=waiting)
@@ -279,6 +280,7 @@
             self._local_dispatchers,
             self._keeper,
             self._placement,
+            self._retry_limiter,
             self._suspects,
             self._notice_exchange,
             fleet_messenger.AccountReceivers(self._proofs, self._quotas),
@@ -294,7 +296,7 @@
         self._suspension = suspension.SuspensionWatch(self._handle_suspension)
         dependencies = forwarder.Dependencies(
             routing_state,
-            self._placement,
+            self._retry_limiter,
             self._client,
             self._suspects,
             self._notice_exchange,
@@ -390,6 +392,14 @@
         )
         self._placement = placement.Placement(self._fleet, self._link, log, self._rng)
         self._placement.use_local_dispatchers(self._local_dispatchers)
+        self._retry_limiter = retry_limiter.RetryLimiter(
+            self._placement,
+            self._fleet,
+            self._link,
+            settings.retries,
+            self._rng,
+            settings.is_new_fleet,
+        )
         self._suspects = suspect_exchange.SuspectExchange(
             quarantine.Quarantine(), self._fleet, self._link, log, self._rng
         )
@@ -469,7 +479,9 @@
         ):
             self.metrics.set_gauge(name, value)
         self._relay_reporter.report()
-        self._dispatch_reporter.report_retries(anyio.current_time())
+        now = anyio.current_time()
+        self._dispatch_reporter.report_retries(now)
+        dispatch_reporter.report_ledgers(self._retry_limiter, self.metrics, now)
         body = self.metrics.format_text().encode()
         return calls.Reply(200, [(b"content-type", b"text/plain")], body)
 
@@ -492,6 +504,7 @@
         self._suspects.compensate_suspension(seconds)
         self._notices.compensate_suspension(seconds)
         self._local_dispatchers.reset()
+        self._retry_limiter.discard_requests()
         self._fleet.restart_settling(anyio.current_time())
 
     def _apply_targets(self) -> None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
@@ -19,6 +19,8 @@
     peer_link,
     placement,
     retry_count_sender,
+    retry_limiter,
+    retry_loans,
     supervision,
     suspect_exchange,
 )
@@ -94,6 +96,9 @@
     placement: placement.Placement
     """Requests that wait for a slot."""
 
+    retry_limiter: retry_limiter.RetryLimiter
+    """Retries that this VM may send or lend."""
+
     suspects: suspect_exchange.SuspectExchange
     """Requests that are suspected to crash their targets."""
 
@@ -191,6 +196,13 @@
             case datagrams.RetryAllowance():
                 self._fleet.record_contact(message.vm, now)
                 dispatchers.apply_retry_allowance(message, now)
+            case (
+                retry_loans.LoanRequested()
+                | retry_loans.LoanDecided()
+                | retry_loans.LoanReturned()
+            ):
+                self._fleet.record_contact(message.vm, now)
+                self._receivers.retry_limiter.apply(message)
             case messages.Report():
                 dispatchers.report(message, now)
             case messages.Grant() | messages.Refuse() | messages.Wait():
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -12,7 +12,7 @@
 from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages, retry_window, shards
 from zinniastand_core.quarantine import suspect
-from zinniastand_proxy.edge import datagrams, ports
+from zinniastand_proxy.edge import datagrams, ports, retry_loans
 
 SHARD = shards.Shard("desk", "a", 1, 4)
 SLOT_REQUEST = messages.SlotRequest(
@@ -53,6 +53,9 @@
     datagrams.RetryAllowance(
         "vm-1", "desk", retry_window.Allowance(12.5, 30, 24, True)
     ),
+    retry_loans.LoanRequested("vm-1", "desk", "vm-1:7:1", 0.5),
+    retry_loans.LoanDecided("vm-2", "vm-1:7:1", 0.25),
+    retry_loans.LoanReturned("vm-1", "vm-1:7:1"),
     messages.Grant("vm:1:2", "t1", 0.1, 0.2),
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
@@ -124,3 +127,12 @@
     data = cbor2.dumps(["b", "vm-1", "desk", *allowance])
     with pytest.raises(datagrams.UnreadableError):
         datagrams.decode(data, 0.0)
+
+
+@pytest.mark.parametrize("amount", [-0.5, 1.5, math.nan, math.inf, "1", None])
+@pytest.mark.parametrize("head", [["i", "vm-1", "desk", "k"], ["j", "vm-1", "k"]])
+def test_loans_of_more_than_one_retry_are_rejected(
+    head: list[object], amount: object
+) -> None:
+    with pytest.raises(datagrams.UnreadableError):
+        datagrams.decode(cbor2.dumps([*head, amount]), 0.0)
--- a/tests/edge/test_fleet_messenger.py
+++ b/tests/edge/test_fleet_messenger.py
@@ -25,6 +25,7 @@
     ports,
     retry_count_sender,
     retry_counts,
+    retry_limiter,
     suspect_exchange,
 )
 
@@ -93,6 +94,7 @@
             self.dispatchers,
             typing.cast(knowledge_keeper.KnowledgeKeeper, unused),
             typing.cast(placement.Placement, unused),
+            typing.cast(retry_limiter.RetryLimiter, unused),
             typing.cast(suspect_exchange.SuspectExchange, unused),
             typing.cast(notice_exchange.NoticeExchange, unused),
         )
