Send no lookup again on a new connection without a retry left

Callers see nothing. A lookup whose connection turns out to be closed is sent once more on a new one, whatever is left of the retries: of all that adds to them, nothing bounded this.

Cause: it was counted afterwards alone. Evidence: read; the test fails before (the attempt may use any idle connection).

Change: without a retry left, lookups use connections that answered a moment ago, or new ones, as work that may run once does, so that nothing has to be sent again.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/forwarder.py
@@ -57,7 +57,7 @@
     routing_state: RoutingState
     """Configuration and targets by which requests are routed."""
 
-    placement: ports.SlotSource
+    placement: ports.LimitedSlotSource
     """Acquires and releases slots of targets."""
 
     client: ports.TargetExchange
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/ports.py
@@ -130,6 +130,14 @@
         ...
 
 
+class LimitedSlotSource(SlotSource, typing.Protocol):
+    """Source of slots that limits the retries of this VM."""
+
+    def may_resend(self, service: str) -> bool:
+        """Return whether a request may be sent once more on a new connection."""
+        ...
+
+
 class SuspectRecord(typing.Protocol):
     """Record of requests that crash their targets."""
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/request_run.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from zinniastand_core import services
 from zinniastand_core.deployment import configuration, targets
 from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
@@ -350,7 +351,7 @@
             return await self._dependencies.client.attempt(
                 target,
                 request,
-                self._route.work,
+                self._find_connection_work(),
                 self._plan.mark_sent,
             )
         except Exception as error:
@@ -359,6 +360,16 @@
                 plan.AttemptResult.BROKEN, None, UNEXPECTED_ERROR
             )
 
+    def _find_connection_work(self) -> services.Work:
+        """Return the work that a connection for an attempt must be fit for.
+
+        Without a retry left, idempotent requests use only connections that are unlikely
+        to be closed, since they could not be sent again on another one.
+        """
+        if self._dependencies.slots.may_resend(self._service):
+            return self._route.work
+        return services.Work.AT_MOST_ONCE
+
     def _handle_end(
         self, attempt: target_client.Attempt, target: targets.Entry, now: float
     ) -> plan.NextStep:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
@@ -204,7 +204,7 @@
         await self._decided.wait()
 
 
-class RetryLimiter(ports.SlotSource):
+class RetryLimiter(ports.LimitedSlotSource):
     """Source of slots that grants no more retries than this VM may send.
 
     Parameters
@@ -303,6 +303,14 @@
             account.sent += 1
         self._slots.report(report)
 
+    def may_resend(self, service: str) -> bool:
+        """Return whether a request may be sent once more on a new connection.
+
+        The report counts it afterwards.
+        """
+        now = anyio.current_time()
+        return self._open_account(service).ledger.find_remaining(now) >= 1.0
+
     def apply(self, message: retry_loans.LoanMessage) -> None:
         """Handle a message about a loan."""
         match message:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_dependencies.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/run_dependencies.py
@@ -20,7 +20,7 @@
     data_centre: str
     """Data centre of this VM."""
 
-    slots: ports.SlotSource
+    slots: ports.LimitedSlotSource
     """Acquires and releases slots of targets."""
 
     client: ports.TargetExchange
--- a/tests/edge/test_earned_retries.py
+++ b/tests/edge/test_earned_retries.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 
 import pytest
 import scripted_run
 
 from bench import retry_fleet, retry_loads
+from zinniastand_core import services
+from zinniastand_core.deployment import targets
 from zinniastand_core.dispatch import messages
 from zinniastand_core.forwarding import plan
+from zinniastand_proxy.edge import http_exchange, target_client
 
 Result = plan.AttemptResult
 
@@ -29,6 +33,53 @@
         return await super().acquire(slot_request)
 
 
+class WorkRecorder(scripted_run.ScriptedTargets):
+    """Records for which work each attempt asks for a connection."""
+
+    def __init__(self, scripts: dict[str, scripted_run.Script]) -> None:
+        super().__init__(scripts)
+        self.work: list[services.Work] = []
+
+    async def attempt(
+        self,
+        target: targets.Entry,
+        request: http_exchange.Request,
+        work: services.Work,
+        mark_sent: collections.abc.Callable[[], None],
+    ) -> target_client.Attempt:
+        """Run one attempt according to its script."""
+        self.work.append(work)
+        return await super().attempt(target, request, work, mark_sent)
+
+
+class ExhaustedSlots(scripted_run.ScriptedSlots):
+    """Grants slots while no retry is left."""
+
+    def may_resend(self, service: str) -> bool:
+        """Return False: no retry is left."""
+        return False
+
+
+@pytest.mark.parametrize(
+    ("slots_type", "expected"),
+    [
+        (scripted_run.ScriptedSlots, services.Work.IDEMPOTENT),
+        (ExhaustedSlots, services.Work.AT_MOST_ONCE),
+    ],
+)
+def test_lookup_is_not_sent_again_on_a_new_connection_without_a_retry_left(
+    slots_type: type[scripted_run.ScriptedSlots], expected: services.Work
+) -> None:
+    # Guards against retries that no limit holds back.
+    exchange = WorkRecorder({"t0": scripted_run.Script(Result.ANSWERED, 0.01)})
+
+    async def main() -> None:
+        await scripted_run.run_once(slots_type(["t0"]), exchange, ["t0"])
+
+    scripted_run.run_in_virtual_time(main)
+    assert exchange.work == [expected]
+
+
 def test_request_with_unreachable_targets_is_counted_once() -> None:
     # Guards against requests that add to the budget for each unreachable target.
     results = [Result.UNREACHABLE, Result.UNREACHABLE, Result.ANSWERED]
--- a/tests/scripted_run.py
+++ b/tests/scripted_run.py
@@ -94,6 +94,10 @@
         """Record the outcome of an attempt."""
         self.outcomes.append(report.outcome)
 
+    def may_resend(self, service: str) -> bool:
+        """Return True: retries are not limited."""
+        return True
+
 
 class ScriptedTargets:
     """Ends attempts according to their scripts."""
