Return loans of retries that arrive late, and lend in windows of three seconds too

Cause: an answer that came after its time-out left a retry counted at the lender that nobody could send; a window below five seconds had no room for loans. Evidence: read; test_loan_that_arrives_late_is_returned fails before (no such message).

Change: the borrower returns an answer that comes late, once, and never one in use. More buckets after now are kept.

Result: tests/edge/test_retry_limiter.py, tests/dispatch/test_retry_ledger.py.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_ledger.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_ledger.py
@@ -36,7 +36,7 @@
 """Buckets up to now that are kept: the first window that contains now, and the requests
 that count for it."""
 
-FUTURE_BUCKETS = 20
+FUTURE_BUCKETS = 50
 """Buckets after now in which retries that were lent count."""
 
 KEPT_BUCKETS = PAST_BUCKETS + FUTURE_BUCKETS
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
@@ -42,6 +42,9 @@
 PAUSE_AFTER_REFUSAL_S = 0.3
 """Seconds without requests for loans of a service after its lenders had too little."""
 
+MAX_UNANSWERED = 256
+"""Requests for loans without an answer in time that are kept."""
+
 START_DURATION_S = 60.0
 """Seconds after the start of a VM of a new fleet by which its first request counts as
 one of the first of the fleet."""
@@ -193,6 +196,11 @@
         self.amount = 0.0
         self._decided = anyio.Event()
 
+    @property
+    def is_decided(self) -> bool:
+        """Whether the answer has arrived."""
+        return self._decided.is_set()
+
     def decide(self, amount: float) -> None:
         """Store the answer; only the first one counts."""
         if not self._decided.is_set():
@@ -242,6 +250,7 @@
         self._accounts: dict[str, _Account] = {}
         self._spendings: dict[str, _Spending] = {}
         self._pending: dict[str, _PendingLoan] = {}
+        self._unanswered: dict[str, str] = {}
         self._numbers = itertools.count()
         self._has_slack_from = -math.inf if is_new_fleet else now + budget.window
         self._starts_until = now + START_DURATION_S if is_new_fleet else -math.inf
@@ -262,6 +271,7 @@
         for account in self._accounts.values():
             account.ledger.discard_requests()
             account.loans.clear()
+        self._starts_until = -math.inf
 
     async def acquire(
         self, slot_request: messages.SlotRequest
@@ -319,9 +329,7 @@
             case retry_loans.LoanReturned():
                 self._take_back(message)
             case retry_loans.LoanDecided():
-                pending = self._pending.get(message.ticket)
-                if pending is not None and pending.lender == message.vm:
-                    pending.decide(message.amount)
+                self._handle_answer(message)
 
     def find_totals(self, now: float) -> dict[str, LedgerTotals]:
         """Return the totals of each service."""
@@ -416,18 +424,35 @@
                 await pending.wait()
         finally:
             del self._pending[ticket]
+        if not pending.is_decided:
+            self._unanswered[ticket] = lender.vm
+            if len(self._unanswered) > MAX_UNANSWERED:
+                del self._unanswered[next(iter(self._unanswered))]
         if pending.amount > 0.0:
             until = now + LOAN_LIFETIME_S
             account.loans.append(_Loan(lender.vm, ticket, pending.amount, until))
             account.borrowed += pending.amount
 
+    def _handle_answer(self, decided: retry_loans.LoanDecided) -> None:
+        """Pass an answer on to the request that waits for it; return late loans."""
+        pending = self._pending.get(decided.ticket)
+        if pending is not None:
+            if pending.lender == decided.vm:
+                pending.decide(decided.amount)
+        elif self._unanswered.get(decided.ticket) == decided.vm:
+            del self._unanswered[decided.ticket]
+            self._return_loan(decided.vm, decided.ticket)
+
     def _return_loans(self, loans: collections.abc.Iterable[_Loan]) -> None:
         """Return loans that are too small or too old to be used."""
         for loan in loans:
-            lender = self._fleet.find(loan.lender)
-            if lender is not None:
-                returned = retry_loans.LoanReturned(self._fleet.own.vm, loan.ticket)
-                self._link.send(returned, lender)
+            self._return_loan(loan.lender, loan.ticket)
+
+    def _return_loan(self, vm: str, ticket: str) -> None:
+        lender = self._fleet.find(vm)
+        if lender is not None:
+            returned = retry_loans.LoanReturned(self._fleet.own.vm, ticket)
+            self._link.send(returned, lender)
 
     def _lend(self, request: retry_loans.LoanRequested) -> None:
         borrower = self._fleet.find(request.vm)
--- a/tests/edge/test_retry_limiter.py
+++ b/tests/edge/test_retry_limiter.py
@@ -206,3 +206,26 @@
     limiter.report(dataclasses.replace(report, is_resent=True))
     expected = int(MAX_LEFT - 1)
     assert count_grants(await fleet.send_retries("vm-0", 5)) == expected
+
+
+async def test_loan_that_arrives_late_is_returned() -> None:
+    # Guards against retries that count at the lender and that nobody may send.
+    fleet = Fleet(2)
+    fleet.lost.add("vm-1")
+    await fleet.send_retries("vm-0", 2)
+    request = fleet.sent[-1]
+    assert isinstance(request, retry_loans.LoanRequested)
+    late = retry_loans.LoanDecided("vm-1", request.ticket, 1.0)
+    for _ in range(2):
+        fleet.limiters["vm-0"].apply(late)
+    returned = retry_loans.LoanReturned("vm-0", request.ticket)
+    assert fleet.sent.count(returned) == 1
+
+
+async def test_loan_that_is_answered_twice_is_used_and_not_returned() -> None:
+    fleet = Fleet(2)
+    await fleet.limiters["vm-1"].acquire(make_request(100, attempt=1))
+    assert count_grants(await fleet.send_retries("vm-0", 2)) == 2
+    lent = [m for m in fleet.sent if isinstance(m, retry_loans.LoanDecided)]
+    fleet.limiters["vm-0"].apply(lent[-1])
+    assert not any(isinstance(m, retry_loans.LoanReturned) for m in fleet.sent)
