--- a/bench/retry_vms.py
+++ b/bench/retry_vms.py
@@ -224,7 +224,7 @@
             self.local_dispatchers,
             typing.cast(knowledge_keeper.KnowledgeKeeper, _EmptyKnowledgeKeeper()),
             self.placement,
-            self._retry_limiter,
+            self._retry_limiter.loans,
             typing.cast(suspect_exchange.SuspectExchange, _NoSuspects()),
             self._notices,
         )
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -280,7 +280,7 @@
             self._local_dispatchers,
             self._keeper,
             self._placement,
-            self._retry_limiter,
+            self._retry_limiter.loans,
             self._suspects,
             self._notice_exchange,
             fleet_messenger.AccountReceivers(self._proofs, self._quotas),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
@@ -12,6 +12,7 @@
 from . import (
     datagrams,
     knowledge_keeper,
+    loan_exchange,
     local_dispatchers,
     log_lines,
     members,
@@ -19,7 +20,6 @@
     peer_link,
     placement,
     retry_count_sender,
-    retry_limiter,
     retry_loans,
     supervision,
     suspect_exchange,
@@ -96,8 +96,8 @@
     placement: placement.Placement
     """Requests that wait for a slot."""
 
-    retry_limiter: retry_limiter.RetryLimiter
-    """Retries that this VM may send or lend."""
+    loans: loan_exchange.LoanExchange
+    """Lends and borrows retries."""
 
     suspects: suspect_exchange.SuspectExchange
     """Requests that are suspected to crash their targets."""
@@ -202,7 +202,7 @@
                 | retry_loans.LoanReturned()
             ):
                 self._fleet.record_contact(message.vm, now)
-                self._receivers.retry_limiter.apply(message)
+                self._receivers.loans.handle(message)
             case messages.Report():
                 dispatchers.report(message, now)
             case messages.Grant() | messages.Refuse() | messages.Wait():
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_loans.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_loans.py
@@ -29,6 +29,9 @@
     vm: str
     """Name of the lender."""
 
+    service: str
+    """Service of the retry."""
+
     ticket: str
     """Ticket of the request for a loan."""
 
@@ -43,6 +46,9 @@
     vm: str
     """Name of the sender."""
 
+    service: str
+    """Service of the retry."""
+
     ticket: str
     """Ticket of the request for the loan."""
 
@@ -68,14 +74,13 @@
     ValueError
         If the values are not those of a message.
     """
-    if kind == "i":
-        vm, service, ticket, amount = values
-        return LoanRequested(str(vm), str(service), str(ticket), _check_amount(amount))
+    vm, service, ticket = map(str, values[:3])
     if kind == "m":
-        vm, ticket = values
-        return LoanReturned(str(vm), str(ticket))
-    vm, ticket, amount = values
-    return LoanDecided(str(vm), str(ticket), _check_amount(amount))
+        return LoanReturned(vm, service, ticket)
+    amount = _check_amount(*values[3:])
+    if kind == "i":
+        return LoanRequested(vm, service, ticket, amount)
+    return LoanDecided(vm, service, ticket, amount)
 
 
 def _check_amount(value: object) -> float:
--- a/tests/edge/test_datagrams.py
+++ b/tests/edge/test_datagrams.py
@@ -54,8 +54,8 @@
         "vm-1", "desk", retry_window.Allowance(12.5, 30, 24, True)
     ),
     retry_loans.LoanRequested("vm-1", "desk", "vm-1:7:1", 0.5),
-    retry_loans.LoanDecided("vm-2", "vm-1:7:1", 0.25),
-    retry_loans.LoanReturned("vm-1", "vm-1:7:1"),
+    retry_loans.LoanDecided("vm-2", "desk", "vm-1:7:1", 0.25),
+    retry_loans.LoanReturned("vm-1", "desk", "vm-1:7:1"),
     messages.Grant("vm:1:2", "t1", 0.1, 0.2),
     messages.Refuse("vm:1:2", messages.RefusalReason.OVERLOADED, 2.0),
     messages.Wait("vm:1:2"),
@@ -130,7 +130,9 @@
 
 
 @pytest.mark.parametrize("amount", [-0.5, 1.5, math.nan, math.inf, "1", None])
-@pytest.mark.parametrize("head", [["i", "vm-1", "desk", "k"], ["j", "vm-1", "k"]])
+@pytest.mark.parametrize(
+    "head", [["i", "vm-1", "desk", "k"], ["j", "vm-1", "desk", "k"]]
+)
 def test_loans_of_more_than_one_retry_are_rejected(
     head: list[object], amount: object
 ) -> None:
--- a/tests/edge/test_fleet_messenger.py
+++ b/tests/edge/test_fleet_messenger.py
@@ -16,6 +16,7 @@
     datagrams,
     fleet_messenger,
     knowledge_keeper,
+    loan_exchange,
     local_dispatchers,
     log_lines,
     members,
@@ -25,7 +26,6 @@
     ports,
     retry_count_sender,
     retry_counts,
-    retry_limiter,
     suspect_exchange,
 )
 
@@ -94,7 +94,7 @@
             self.dispatchers,
             typing.cast(knowledge_keeper.KnowledgeKeeper, unused),
             typing.cast(placement.Placement, unused),
-            typing.cast(retry_limiter.RetryLimiter, unused),
+            typing.cast(loan_exchange.LoanExchange, unused),
             typing.cast(suspect_exchange.SuspectExchange, unused),
             typing.cast(notice_exchange.NoticeExchange, unused),
         )
--- a/tests/edge/test_retry_limiter.py
+++ b/tests/edge/test_retry_limiter.py
@@ -72,7 +72,7 @@
         self.sent.append(message)
         assert isinstance(message, retry_loans.LoanMessage)
         if member.vm not in self.lost:
-            self.limiters[member.vm].apply(message)
+            self.limiters[member.vm].loans.handle(message)
 
     async def send_retries(
         self, vm: str, count: int, first_number: int = 0
@@ -171,8 +171,8 @@
         await anyio.sleep(0.01)
         request = fleet.sent[-1]
         assert isinstance(request, retry_loans.LoanRequested)
-        forged = retry_loans.LoanDecided("vm-9", request.ticket, 1.0)
-        fleet.limiters["vm-0"].apply(forged)
+        forged = retry_loans.LoanDecided("vm-9", "desk", request.ticket, 1.0)
+        fleet.limiters["vm-0"].loans.handle(forged)
     assert count_grants(answers) == 0
 
 
@@ -215,10 +215,10 @@
     await fleet.send_retries("vm-0", 2)
     request = fleet.sent[-1]
     assert isinstance(request, retry_loans.LoanRequested)
-    late = retry_loans.LoanDecided("vm-1", request.ticket, 1.0)
+    late = retry_loans.LoanDecided("vm-1", "desk", request.ticket, 1.0)
     for _ in range(2):
-        fleet.limiters["vm-0"].apply(late)
-    returned = retry_loans.LoanReturned("vm-0", request.ticket)
+        fleet.limiters["vm-0"].loans.handle(late)
+    returned = retry_loans.LoanReturned("vm-0", "desk", request.ticket)
     assert fleet.sent.count(returned) == 1
 
 
@@ -227,5 +227,5 @@
     await fleet.limiters["vm-1"].acquire(make_request(100, attempt=1))
     assert count_grants(await fleet.send_retries("vm-0", 2)) == 2
     lent = [m for m in fleet.sent if isinstance(m, retry_loans.LoanDecided)]
-    fleet.limiters["vm-0"].apply(lent[-1])
+    fleet.limiters["vm-0"].loans.handle(lent[-1])
     assert not any(isinstance(m, retry_loans.LoanReturned) for m in fleet.sent)
