--- a/soak/plants.py
+++ b/soak/plants.py
@@ -169,6 +169,11 @@
                 "self._retries[-1] += 1",
                 "self._retries[-1] += 0",
             ),
+            Replacement(
+                f"{CORE_PATH}/dispatch/retry_ledger.py",
+                "self._retries[index] += amount",
+                "self._retries[index] += 0.0",
+            ),
         ),
         plan.Kind.RETRIES,
     ),
