--- a/tests/edge_site.py
+++ b/tests/edge_site.py
@@ -293,6 +293,7 @@
             "store": format_address(settings.store),
             "stop_limit_s": settings.stop_limit,
             "unready_after_s": settings.unready_after,
+            "is_new_fleet": settings.is_new_fleet,
             "retries": {"ratio": 0.2, "slack": 50.0, "window_s": 10.0},
         }
     )
