List retries that dispatchers refuse beside the limit of the VMs

Callers saw more failed requests after a VM was killed than the bound on retries requires: of the retries that it allows, dispatchers refused about an eighth.

Cause: retries are limited twice. VMs keep the bound by themselves; dispatchers refuse once more by the counts of all VMs that they know, and know few after the VM that counted for them is gone.

--- a/tests/edge/test_local_dispatchers.py
+++ b/tests/edge/test_local_dispatchers.py
@@ -84,6 +84,13 @@
     assert 10 < count_granted_retries(vm_dispatchers, decisions, "vm-1") <= 25
 
 
+async def test_new_dispatcher_refuses_no_retry_that_a_vm_may_send() -> None:
+    # Guards against a second limit beside that of the VMs: a dispatcher that has just
+    # taken over knows few requests, and refuses retries that the bound allows.
+    vm_dispatchers, decisions = make_dispatchers(vms=20)
+    assert count_granted_retries(vm_dispatchers, decisions, "vm-1") == 100
+
+
 async def test_new_dispatcher_applies_rate_limits_received_from_others() -> None:
     # Guards against each new dispatcher filling all slots of an overloaded target.
     vm_dispatchers, decisions = make_dispatchers(vms=20)
