Let VMs alone limit retries; dispatchers refuse none

What callers saw: after a VM was killed, requests of services with many shards failed for want of retries that the bound allows.

Cause: two limits, one beside the other. Each VM keeps its own inequality, which is enough for the bound. Dispatchers refused once more, by the counts of all VMs that they had been told; those are lost with the VM that added them up.

Change: dispatchers count what they are asked for (`retry_estimate`, the same ledger) only to price trials of targets.

--- a/bench/retry_histories.py
+++ b/bench/retry_histories.py
@@ -74,7 +74,7 @@
             _draw_fault_time(rng),
             rng.choice((0.1, 0.2, 0.5, 1.0)),
             rng.choice((0.05, 0.6, 1.0)),
-            has_aggregator=rng.random() < 0.5,
+            has_successor=rng.random() < 0.5,
         )
         for _ in range(rng.choice((0, 1, 2, 4)))
     )
--- a/bench/retry_loads.py
+++ b/bench/retry_loads.py
@@ -45,8 +45,8 @@
     down_s: float = 0.6
     """Time until they start again."""
 
-    has_aggregator: bool = False
-    """Whether the VM that aggregates retry counts is among them."""
+    has_successor: bool = False
+    """Whether the VM that would succeed it most often is among them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,10 +170,10 @@
     refused: collections.Counter[str]
     """Number of requests not answered with status 200, by the recorded reason."""
 
-    sent_count_bytes: int = 0
-    """Bytes of retry counts that VMs have sent to each other."""
+    loan_bytes: int = 0
+    """Bytes that VMs have sent to each other to lend retries."""
 
-    remote_count_bytes: int = 0
+    remote_loan_bytes: int = 0
     """The part of these that went to other data centres."""
 
     @property
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/dispatcher.py
@@ -28,7 +28,7 @@
     messages,
     pool,
     rate_limit,
-    retry_window,
+    retry_estimate,
     service_level,
     target_state,
     waiting,
@@ -97,6 +97,12 @@
     unservable: int
     """Waiting requests that exclude all targets."""
 
+    retries_sent: int
+    """Retries sent, without those that reached no target."""
+
+    retries_left: float
+    """Retries that may still be sent, as far as the dispatcher knows."""
+
 
 UNSENT_OUTCOMES = frozenset({messages.Outcome.UNUSED, messages.Outcome.UNREACHABLE})
 """Outcomes of attempts that reached no target."""
@@ -112,8 +118,8 @@
     ----------
     kinds : work_times.KindTimes
         Mean durations of work.
-    retries : retry_window.RetryWindow
-        Bounds attempts after the first.
+    retries : retry_estimate.RetryEstimate
+        Counts requests and retries.
     rng : random.Random
         Spreads the times at which refused callers come back.
     policy : mechanisms.Mechanisms, optional
@@ -125,7 +131,7 @@
     def __init__(
         self,
         kinds: work_times.KindTimes,
-        retries: retry_window.RetryWindow,
+        retries: retry_estimate.RetryEstimate,
         rng: random.Random,
         policy: mechanisms.Mechanisms = mechanisms.ALL,
         read_share: collections.abc.Callable[[], float] = lambda: 1.0,
@@ -133,7 +139,8 @@
         self.pool = pool.Pool(kinds, policy)
         self._policy = policy
         self._kinds = kinds
-        self._retries = retries
+        self.retries = retries
+        """Counts the requests and retries of the shard."""
         self._rng = rng
         self._read_share = read_share
         self._grants: dict[str, _Grant] = {}
@@ -163,6 +170,8 @@
                 for queued in self._queue
                 if self.pool.excludes_all(queued.slot_request.excluded)
             ),
+            self.retries.sent,
+            round(max(0.0, self.retries.find_remaining(now)), 1),
         )
 
     def update_targets(
@@ -180,7 +189,7 @@
         """
         if slot_request.is_first:
             # Refused requests count too: they are requests for the service.
-            self._retries.add_request(now)
+            self.retries.add_request(now)
         grant = self._grants.get(slot_request.ticket)
         if grant is not None:
             return [self._make_repeated_grant(grant, now)]
@@ -188,10 +197,8 @@
             return [messages.Wait(slot_request.ticket)]
         if self.pool.excludes_all(slot_request.excluded):
             return [self._refuse(slot_request, messages.RefusalReason.NO_TARGET, now)]
-        if slot_request.attempt > 1 and not self._retries.reserve(now):
-            return [
-                self._refuse(slot_request, messages.RefusalReason.RETRY_BUDGET, now)
-            ]
+        if slot_request.attempt > 1:
+            self.retries.add_waiting()
         entry = waiting.QueuedRequest(
             self._find_effective_priority(slot_request, now),
             now,
@@ -199,7 +206,7 @@
             slot_request,
         )
         if not self._queue.enter(entry, now):
-            self._release_retry(entry)
+            self._remove_waiting_retry(entry)
             return [self._refuse(slot_request, messages.RefusalReason.OVERLOADED, now)]
         decisions = self._serve_queue(now)
         if any(answer.ticket == slot_request.ticket for answer in decisions):
@@ -217,11 +224,11 @@
         grant = self._grants.pop(report.ticket, None)
         withdrawn = self._queue.remove(report.ticket) if grant is None else None
         if withdrawn is not None:
-            self._release_retry(withdrawn)
+            self._remove_waiting_retry(withdrawn)
         if grant is not None and grant.is_retry and report.outcome in UNSENT_OUTCOMES:
-            self._retries.refund(grant.started_at, now)
+            self.retries.refund(grant.started_at, now)
         if report.is_resent and grant is not None:
-            self._retries.charge(now)
+            self.retries.add_resent(now)
         target_id = grant.target_id if grant is not None else report.target_id
         state = self.pool.find(target_id)
         if state is not None:
@@ -280,7 +287,7 @@
             decision: messages.Decision | None = None
             min_work_time = MIN_WORK_FACTOR * self._kinds.find_mean(slot_request.kind)
             if now + min_work_time >= slot_request.deadline_at:
-                self._release_retry(queued)
+                self._remove_waiting_retry(queued)
                 decision = self._refuse(
                     slot_request, messages.RefusalReason.TOO_LATE, now
                 )
@@ -316,7 +323,7 @@
             state.record_trial(now)
         grant = self._start(slot_request, state, now, is_retry=slot_request.attempt > 1)
         if grant.is_retry:
-            self._retries.spend(now)
+            self.retries.add_sent(now)
         if state.limit is not None:
             state.limit.record_request(self._read_share(), now)
         return messages.Grant(
@@ -330,7 +337,7 @@
 
     def _find_retry_availability(self, now: float) -> float:
         """Return the availability of retries, from 0 for none left to 1 for plenty."""
-        retry_availability = self._retries.find_availability(now)
+        retry_availability = self.retries.find_availability(now)
         if not self._policy.scarcity:
             return 1.0 if retry_availability > 0.0 else 0.0
         return retry_availability
@@ -429,14 +436,14 @@
             self._find_pressure(now),
         )
 
-    def _release_retry(self, queued: waiting.QueuedRequest) -> None:
-        """Release the retry of a request that gets no target.
+    def _remove_waiting_retry(self, queued: waiting.QueuedRequest) -> None:
+        """Stop counting the retry of a request that gets no target.
 
-        Load pattern: targets turn work away, and more retries are requested than may be
-        sent. Those that are refused would use up the retries of others.
+        Load pattern: targets turn work away, and more retries wait than find a target.
+        Those that are refused would seem to leave none for others.
         """
         if queued.slot_request.attempt > 1:
-            self._retries.release()
+            self.retries.remove_waiting()
 
     def _find_effective_priority(
         self, slot_request: messages.SlotRequest, now: float
--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_ledger.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_ledger.py
@@ -188,6 +188,11 @@
             self._headroom = self._find_headroom(BEGINS_UNTIL_NOW)
         return self._headroom + self._read_slack() - self._reserved
 
+    def count_retries(self, now: float) -> float:
+        """Return the retries counted within the window that ends now."""
+        self._advance_to(now)
+        return sum(self._retries[NOW_INDEX - BUCKETS_PER_WINDOW + 1 :])
+
     def _count(self, index: int, amount: float) -> None:
         self._retries[index] += amount
         if self._headroom is not None:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/datagrams.py
@@ -13,10 +13,10 @@
 import cbor2
 
 from zinniastand_core.deployment import targets
-from zinniastand_core.dispatch import messages, retry_window, shards
+from zinniastand_core.dispatch import messages, shards
 from zinniastand_core.quarantine import suspect
 
-from . import ports, retry_codec, retry_loans, suspect_codec
+from . import ports, retry_loans, suspect_codec
 from .accounts import account_messages
 
 
@@ -205,36 +205,6 @@
     """Whether it is leaving."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryUsage:
-    """The sender's counts of the requests and retries of a service."""
-
-    service: str
-    """Name of the service."""
-
-    counts: tuple[retry_window.CounterHistory, ...]
-    """The sender's own counts and those received from others, each with the name of the
-    VM that counted."""
-
-    is_complete: bool = False
-    """Whether this datagram and those sent just before it contain all retries granted
-    within the window."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryAllowance:
-    """What is left to the dispatchers of a service, from the VM that counts for all."""
-
-    vm: str
-    """Name of the sender."""
-
-    service: str
-    """Name of the service."""
-
-    allowance: retry_window.Allowance
-    """Retries left to all dispatchers together."""
-
-
 MAX_LISTED_TARGETS = 256
 """Maximum number of target ids in one list of a slot request; a VM excludes fewer."""
 
@@ -260,8 +230,6 @@
     | SlotRequested
     | SlotHeld
     | SuspectRequests
-    | RetryUsage
-    | RetryAllowance
     | TargetNotice
     | account_messages.AccountMessage
     | retry_loans.LoanMessage
@@ -339,12 +307,6 @@
             ]
         case SuspectRequests():
             return ["s", suspect_codec.pack(message.items, now)]
-        case RetryUsage():
-            counts = retry_codec.pack(message.counts)
-            return ["t", message.service, counts, message.is_complete]
-        case RetryAllowance():
-            allowance = dataclasses.astuple(message.allowance)
-            return ["b", message.vm, message.service, *allowance]
         case TargetNotice():
             return ["x", *dataclasses.astuple(message)]
         case (
@@ -403,12 +365,6 @@
             return SlotRequested(rest[0], _unpack_slot_request(rest[1:], now))
         case "s":
             return SuspectRequests(suspect_codec.unpack(rest[0], now))
-        case "t":
-            counts = retry_codec.unpack(rest[1])
-            return RetryUsage(str(rest[0]), counts, rest[2] is True)
-        case "b":
-            allowance = retry_codec.unpack_allowance(rest[2:])
-            return RetryAllowance(str(rest[0]), str(rest[1]), allowance)
         case "x":
             target_id, born, seconds, is_leaving = rest
             return TargetNotice(
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
@@ -46,9 +46,7 @@
         """Write one line for each busy dispatcher, and set its gauges."""
         for shard, summary in self._dispatchers.summarize(now):
             fields = dataclasses.asdict(summary)
-            retries = self._dispatchers.retries.summarize(shard.service, now)
-            known = {f"retry_{k}": v for k, v in dataclasses.asdict(retries).items()}
-            self._log.write("dispatching", shard=shard.task, **fields, **known)
+            self._log.write("dispatching", shard=shard.task, **fields)
             labels = metrics.label(shard=shard.task)
             for name, value in fields.items():
                 gauge = f"zinniastand_dispatch_{name}"
@@ -56,8 +54,7 @@
 
     def report_retries(self, now: float) -> None:
         """Set the gauges of the retry totals of each service."""
-        for service in self._dispatchers.list_services():
-            totals = self._dispatchers.retries.find_totals(service, now)
+        for service, totals in self._dispatchers.find_retry_totals(now).items():
             labels = metrics.label(service=service)
             for field in dataclasses.fields(totals):
                 name = f"zinniastand_retry_{field.name}"
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_daemon.py
@@ -176,7 +176,7 @@
         ]
         self._settings = new_settings
         now = anyio.current_time()
-        self._local_dispatchers.retries.use_budget(new_settings.retries, now)
+        self._local_dispatchers.use_retry_budget(new_settings.retries, now)
         self._retry_limiter.use_budget(new_settings.retries, now)
         self._store.use_address(new_settings.store.host, new_settings.store.port)
         waiting = [name for name in changed if name not in CHANGEABLE_SETTINGS]
@@ -288,9 +288,6 @@
         self._messenger = fleet_messenger.FleetMessenger(
             self._fleet, self._link, receivers, self._log, self._report_fault
         )
-        self._local_dispatchers.retries.use_announcer(
-            self._messenger.retry_counts.send_recent
-        )
         connector = self._build_connector()
         self._client = target_client.TargetClient(self._platform_headers, connector)
         self._suspension = suspension.SuspensionWatch(self._handle_suspension)
@@ -385,7 +382,6 @@
             settings.retries,
             self._rng,
             self._deliver,
-            settings.is_new_fleet,
         )
         self._dispatch_reporter = dispatch_reporter.DispatchReporter(
             self._local_dispatchers, log, self.metrics
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/edge_settings.py
@@ -12,7 +12,7 @@
 from zinniastand_core.accounts import quota
 
 from .. import settings_document
-from . import retry_counts
+from . import retry_budget
 
 MAX_PORT = 65_535
 
@@ -75,7 +75,7 @@
     unready_after: float
     """Seconds that the load balancer may take to notice that this VM is not ready."""
 
-    retries: retry_counts.RetryBudget
+    retries: retry_budget.RetryBudget
     """Bound on the retries of each service."""
 
     is_new_fleet: bool = False
@@ -143,7 +143,7 @@
         store=_read_address(reader, "store"),
         stop_limit=reader.read_number("stop_limit_s", 6.0, 0.1, 3600),
         unready_after=reader.read_number("unready_after_s", 2.5, 0, 60),
-        retries=retry_counts.RetryBudget(
+        retries=retry_budget.RetryBudget(
             ratio=retries.read_number("ratio", 0.2, 0, 10),
             slack=retries.read_number("slack", 10.0, 0, 1e6),
             window=retries.read_number("window_s", 10.0, 0.1, 3600),
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/fleet_messenger.py
@@ -19,7 +19,6 @@
     notice_exchange,
     peer_link,
     placement,
-    retry_count_sender,
     retry_loans,
     supervision,
     suspect_exchange,
@@ -139,9 +138,6 @@
         self._receivers = receivers
         self._log = log
         self._report_fault = report_fault
-        self.retry_counts = retry_count_sender.RetryCountSender(
-            fleet, link, receivers.local_dispatchers, log
-        )
         self.is_leaving = False
 
     def receive(self, message: datagrams.Message) -> None:
@@ -191,11 +187,6 @@
                 dispatchers.request_slot(message.vm, message.request, now)
             case datagrams.SlotHeld():
                 dispatchers.adopt(message.vm, message.held, now)
-            case datagrams.RetryUsage():
-                dispatchers.apply_retry_counts(message, now)
-            case datagrams.RetryAllowance():
-                self._fleet.record_contact(message.vm, now)
-                dispatchers.apply_retry_allowance(message, now)
             case (
                 retry_loans.LoanRequested()
                 | retry_loans.LoanDecided()
@@ -245,7 +236,7 @@
             self.send_estimates(is_broadcast=number % SENDINGS_PER_BROADCAST == 0)
 
     def send_estimates(self, is_broadcast: bool) -> None:
-        """Send the estimates of the dispatchers here, and the retry counts.
+        """Send the estimates of the dispatchers here.
 
         Parameters
         ----------
@@ -264,7 +255,6 @@
                 self._receivers.local_dispatchers.summarize_estimates(shard, now),
                 [member for member in recipients if member is not None],
             )
-        self.retry_counts.send_all(now, is_broadcast)
 
     async def greet(self) -> None:
         """Greet VMs that did not answer, until cancelled."""
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/local_dispatchers.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/local_dispatchers.py
@@ -9,7 +9,6 @@
 import collections
 import collections.abc
 import dataclasses
-import math
 import random
 
 import anyio
@@ -19,12 +18,14 @@
     dispatcher,
     messages,
     rate_limit,
+    retry_estimate,
+    retry_ledger,
     shards,
     target_state,
     work_times,
 )
 
-from . import announced_limits, datagrams, members, retry_counts
+from . import announced_limits, datagrams, members, retry_budget
 
 Deliver = collections.abc.Callable[[str, messages.Decision], None]
 
@@ -33,8 +34,7 @@
 that decides for its own VM alone."""
 
 IDLE_RETENTION_S = 30.0
-"""Seconds after which an idle dispatcher is removed: longer than the window of the
-retry budget, so that removing one frees no additional retries."""
+"""Seconds after which an idle dispatcher is removed, with all that it has learned."""
 
 ESTIMATE_RETENTION_S = 5.0
 """Seconds for which estimates of another dispatcher are used. Targets change within
@@ -45,6 +45,26 @@
 deadline."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryTotals:
+    """Retries of a service that the dispatchers of this VM have counted."""
+
+    requests: int = 0
+    """Requests whose first slot request came to this VM."""
+
+    spent: int = 0
+    """Retries granted, without those that reached no target."""
+
+    resent: int = 0
+    """Of `spent`, requests resent on a second connection without a slot request."""
+
+    returned: int = 0
+    """Retries that reached no target."""
+
+    left: float = 0.0
+    """Retries that may still be sent, as far as the dispatchers know."""
+
+
 class LocalDispatchers:
     """Dispatchers of all shards for which slots were requested here.
 
@@ -54,34 +74,25 @@
         The VMs of the fleet.
     registry : targets.Registry
         Targets known to this VM.
-    budget : retry_counts.RetryBudget
+    budget : retry_budget.RetryBudget
         Limit on the retries of each service.
     rng : random.Random
         Source of randomness for spreading the retries of refused callers.
     deliver : callable
         Called with each decision and the VM that requested the slot.
-    is_new_fleet : bool, optional
-        Whether this VM starts together with the whole fleet.
     """
 
     def __init__(
         self,
         fleet: members.Members,
         registry: targets.Registry,
-        budget: retry_counts.RetryBudget,
+        budget: retry_budget.RetryBudget,
         rng: random.Random,
         deliver: Deliver,
-        is_new_fleet: bool = False,
     ) -> None:
         self._fleet = fleet
         self._registry = registry
-        self.retries = retry_counts.RetryCounts(
-            fleet,
-            budget,
-            self._is_alone,
-            lambda service: len(self.list_shards(service)),
-            is_new_fleet,
-        )
+        self._budget = budget
         self._rng = rng
         self._deliver = deliver
         self._dispatchers: dict[shards.Shard, dispatcher.Dispatcher] = {}
@@ -93,9 +104,11 @@
         self._received_estimates: dict[str, tuple[datagrams.TargetEstimate, float]] = {}
         self._divisions: dict[str, tuple[shards.Shard, ...]] = {}
 
-    def list_services(self) -> list[str]:
-        """Return the services that have a dispatcher here."""
-        return sorted({shard.service for shard in self._dispatchers})
+    def use_retry_budget(self, budget: retry_budget.RetryBudget, now: float) -> None:
+        """Replace the limit on retries, also for the dispatchers in use."""
+        self._budget = budget
+        for shard_dispatcher in self._dispatchers.values():
+            shard_dispatcher.retries.set_bounds(budget.ratio, budget.window, now)
 
     def list_busy(self) -> list[shards.Shard]:
         """Return the shards whose dispatcher here has slots in use."""
@@ -105,14 +118,6 @@
             if candidate.in_flight
         ]
 
-    def list_used_since(self, at: float) -> list[shards.Shard]:
-        """Return the shards for which a slot was requested here since the time `at`."""
-        return [
-            shard
-            for shard in self._dispatchers
-            if self._last_used_at.get(shard, -math.inf) >= at
-        ]
-
     def summarize(
         self, now: float
     ) -> list[tuple[shards.Shard, dispatcher.DispatchSummary]]:
@@ -123,6 +128,22 @@
             if candidate.in_flight or candidate.queue_length
         ]
 
+    def find_retry_totals(self, now: float) -> dict[str, RetryTotals]:
+        """Return the totals of each service that has a dispatcher here."""
+        totals: dict[str, RetryTotals] = {}
+        for shard, candidate in self._dispatchers.items():
+            retries = candidate.retries
+            before = totals.get(shard.service, RetryTotals())
+            left = max(0.0, retries.find_remaining(now))
+            totals[shard.service] = RetryTotals(
+                before.requests + retries.requests,
+                before.spent + retries.sent,
+                before.resent + retries.resent,
+                before.returned + retries.returned,
+                before.left + left,
+            )
+        return totals
+
     def list_shards(self, service: str) -> tuple[shards.Shard, ...]:
         """Return the shards into which a service is currently divided."""
         return self._divisions.get(service) or (shards.Shard(service),)
@@ -145,13 +166,11 @@
         self._requesters[slot_request.ticket] = (vm, now + TICKET_RETENTION_S)
         self._last_used_at[slot_request.shard] = now
         shard_dispatcher = self._open_dispatcher(slot_request.shard, now)
-        self.retries.record_activity(slot_request.shard.service, now)
         if vm != self._fleet.own.vm:
             if self._find_share(slot_request.shard) < 1.0:
                 _use_full_limits(shard_dispatcher, now)
             self._alone_from[slot_request.shard] = now + ALONE_AFTER_S
         self._deliver_decisions(shard_dispatcher.request_slot(slot_request, now))
-        self.retries.announce_unsent(slot_request.shard.service)
 
     def report(self, report: messages.Report, now: float) -> None:
         """Release a slot and apply the outcome of its attempt."""
@@ -159,7 +178,6 @@
         self._deliver_decisions(
             self._open_dispatcher(report.shard, now).handle_report(report, now)
         )
-        self.retries.announce_unsent(report.shard.service)
 
     def adopt(self, vm: str, held: messages.HeldSlot, now: float) -> None:
         """Count a slot as in use that another dispatcher granted to a VM."""
@@ -176,21 +194,17 @@
             for service, entries in by_service.items()
         }
         self._announced_limits.remove_expired(now)
-        self.retries.remove_gone_services(
-            {*self._divisions, *self.list_services()}, now
-        )
         for shard, shard_dispatcher in self._dispatchers.items():
             self._deliver_decisions(
                 shard_dispatcher.update_targets(self._list_targets(shard, now), now)
             )
 
     def reset(self) -> None:
-        """Discard all slots, queues and estimates, as after a process start.
+        """Discard all slots, queues, counts and estimates, as after a process start.
 
         After a suspension, other VMs have already handled these requests.
         """
         self._dispatchers.clear()
-        self.retries.reset()
         self._requesters.clear()
         self._received_estimates.clear()
 
@@ -240,18 +254,6 @@
         if shard_dispatcher is not None:
             self._apply_received_estimates(shard_dispatcher, shard, now)
 
-    def apply_retry_counts(self, counts: datagrams.RetryUsage, now: float) -> None:
-        """Merge the retry counts of another VM, if the service is known here."""
-        if counts.service in self._divisions:
-            self.retries.apply_update(counts, now)
-
-    def apply_retry_allowance(
-        self, message: datagrams.RetryAllowance, now: float
-    ) -> None:
-        """Use the allowance of a service's aggregator, if the service is known here."""
-        if message.service in self._divisions:
-            self.retries.apply_allowance(message, now)
-
     def record_rate_limit(self, target_id: str, rate: float, now: float) -> None:
         """Record a rate limit from a target's answer to this VM, infinite for none."""
         self._announced_limits.record(target_id, rate, now, now)
@@ -305,10 +307,9 @@
         shard_dispatcher = self._dispatchers.get(shard)
         if shard_dispatcher is None:
             times = self._times.setdefault(shard.service, work_times.KindTimes())
-            window = self.retries.open(shard.service, now)
             shard_dispatcher = dispatcher.Dispatcher(
                 times,
-                window,
+                self._make_retry_estimate(shard, now),
                 self._rng,
                 read_share=lambda: self._find_share(shard),
             )
@@ -318,6 +319,23 @@
             self._apply_received_estimates(shard_dispatcher, shard, now)
         return shard_dispatcher
 
+    def _make_retry_estimate(
+        self, shard: shards.Shard, now: float
+    ) -> retry_estimate.RetryEstimate:
+        """Return the counts of a new dispatcher, which knows none from before."""
+        ledger = retry_ledger.RetryLedger(
+            self._budget.ratio,
+            lambda: self._find_retry_slack(shard),
+            self._budget.window,
+            first_request_at=now,
+        )
+        return retry_estimate.RetryEstimate(ledger)
+
+    def _find_retry_slack(self, shard: shards.Shard) -> float:
+        """Return the part of the retry slack that the VMs use in a shard."""
+        shard_count = len(self.list_shards(shard.service))
+        return self._budget.used_slack * self._find_share(shard) / shard_count
+
     def _list_targets(self, shard: shards.Shard, now: float) -> list[targets.Entry]:
         usable = self._registry.list_usable(shard.service, now)
         return [entry for entry in usable if shard.covers(entry)]
@@ -339,15 +357,6 @@
                     received[0].failure_probability, received[0].slowness, received[1]
                 )
 
-    def _is_alone(self, service: str) -> bool:
-        """Return whether no other VM has lately requested slots of a service here."""
-        now = anyio.current_time()
-        return all(
-            at <= now
-            for shard, at in self._alone_from.items()
-            if shard.service == service
-        )
-
     def _find_share(self, shard: shards.Shard) -> float:
         """Return the share of the fleet-wide limits that this dispatcher may use.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/placement.py
@@ -41,8 +41,8 @@
         messages.RefusalReason.RETRY_BUDGET,
     }
 )
-"""Refusals after which another shard may grant a slot: each shard counts its own slots
-and its own share of the service's retries."""
+"""Refusals after which another shard may grant a slot: each shard counts its own slots.
+Dispatchers of an earlier version count its retries, too."""
 
 FinalDecision = messages.Grant | messages.Refuse
 """A decision after which a slot request is not resent."""
@@ -121,10 +121,6 @@
         shards, and after some refusals to a second one.
         """
         service = slot_request.shard.service
-        if self._local_dispatchers is not None:
-            self._local_dispatchers.retries.record_request(
-                service, anyio.current_time()
-            )
         refused: list[shards.Shard] = []
         answer: FinalDecision = _make_late_refusal(slot_request)
         while len(refused) < MAX_SHARDS:
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
@@ -1,8 +1,7 @@
 """Limits the retries that this VM sends.
 
 Every retry of this VM is paid for by its own `retry_ledger` or by loans of other VMs.
-The dispatchers of a service limit its retries, too, by the counts that they send each
-other, but may not know what others have granted. The ledgers keep the limit also then.
+Dispatchers refuse no retries: they do not know what others have granted.
 """
 
 from __future__ import annotations
@@ -15,11 +14,7 @@
 
 from zinniastand_core.dispatch import messages, retry_account, retry_ledger
 
-from . import loan_exchange, members, peer_link, ports, retry_counts
-
-SLACK_SHARE = 0.9
-"""Share of the retry slack that all VMs together use. The rest covers retries that take
-long to arrive at their target, and VMs that know of different numbers of VMs."""
+from . import loan_exchange, members, peer_link, ports, retry_budget
 
 PAUSE_AFTER_REFUSAL_S = 0.3
 """Seconds without requests for loans of a service after its lenders had too little."""
@@ -39,6 +34,9 @@
 class LedgerTotals:
     """Totals of the retries of a service at this VM."""
 
+    requests: int
+    """Requests that callers have sent to this VM."""
+
     sent: int
     """Retries sent, without those that reached no target."""
 
@@ -61,6 +59,7 @@
     def __init__(self, ledger: retry_ledger.RetryLedger) -> None:
         self.account = retry_account.RetryAccount(ledger)
         self.pause_until = -math.inf
+        self.requests = 0
         self.sent = 0
         self.refused = 0
 
@@ -76,7 +75,7 @@
         The VMs of the fleet.
     link : peer_link.PeerLink
         Sends datagrams to them.
-    budget : retry_counts.RetryBudget
+    budget : retry_budget.RetryBudget
         Limit on the retries of each service.
     rng : random.Random
         Chooses lenders, and spreads the times at which refused callers come back.
@@ -90,7 +89,7 @@
         slots: ports.SlotSource,
         fleet: members.Members,
         link: peer_link.PeerLink,
-        budget: retry_counts.RetryBudget,
+        budget: retry_budget.RetryBudget,
         rng: random.Random,
         is_new_fleet: bool = False,
     ) -> None:
@@ -107,7 +106,7 @@
         self.loans = loan_exchange.LoanExchange(fleet, link, rng, self._find_account)
         """Lends and borrows retries."""
 
-    def use_budget(self, budget: retry_counts.RetryBudget, now: float) -> None:
+    def use_budget(self, budget: retry_budget.RetryBudget, now: float) -> None:
         """Replace the budget, also for the ledgers in use."""
         self._budget = budget
         for service in self._services.values():
@@ -173,10 +172,16 @@
         ledger = self._open(service).account.ledger
         return ledger.find_remaining(anyio.current_time()) >= 1.0
 
+    def count_requests(self, service: str) -> int:
+        """Return the number of requests of a service that callers sent to this VM."""
+        found = self._services.get(service)
+        return found.requests if found is not None else 0
+
     def find_totals(self, now: float) -> dict[str, LedgerTotals]:
         """Return the totals of each service."""
         return {
             name: LedgerTotals(
+                service.requests,
                 service.sent,
                 service.refused,
                 round(service.account.borrowed, 2),
@@ -189,7 +194,9 @@
     def _record_request(self, service: str, now: float) -> None:
         if self._first_request_at is None:
             self._first_request_at = now
-        self._open(service).account.ledger.add_request(now)
+        opened = self._open(service)
+        opened.account.ledger.add_request(now)
+        opened.requests += 1
 
     def _open(self, name: str) -> _Service:
         service = self._services.get(name)
@@ -222,7 +229,7 @@
         """
         if anyio.current_time() < self._has_slack_from:
             return 0.0
-        return SLACK_SHARE * self._budget.slack / self._fleet.count()
+        return self._budget.used_slack / self._fleet.count()
 
     async def _find_permit(
         self, name: str, service: _Service
