Hold the slack of a restarted VM back until its former loans have ended

What could happen: more retries than the bound, where a VM lends, is killed, and starts again at once: what it lent is sent after its start, and the VM's part of the slack is free again while that still lies within a window.

Cause: a VM that starts again waits for a window, but what its former process lent counts for up to a second more, at a lender that is gone.

Evidence: the state machine of ledgers, with a wait of a window alone, finds 41 retries of 40 (borrow, die, wait, retries of all, a window less 0.1 s, retries of all).

Change: it waits for a window and the lifetime of a loan. The new test of the limiter fails before. 4,000 runs of the state machine with that wait find nothing.

--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
@@ -100,7 +100,10 @@
         self._rng = rng
         self._services: dict[str, _Service] = {}
         self._spendings: dict[str, retry_account.Spending] = {}
-        self._has_slack_from = -math.inf if is_new_fleet else now + budget.window
+        self._has_slack_from = -math.inf
+        if not is_new_fleet:
+            loans_end_at = now + loan_exchange.LOAN_LIFETIME_S
+            self._has_slack_from = loans_end_at + budget.window
         self._starts_until = now + START_DURATION_S if is_new_fleet else -math.inf
         self._first_request_at: float | None = None
         self.loans = loan_exchange.LoanExchange(fleet, link, rng, self._find_account)
@@ -224,8 +227,8 @@
     def _find_slack(self) -> float:
         """Return the part of the slack that this VM may use in a window.
 
-        A VM that has started again does not know what it has sent before. It waits
-        until that lies outside of the window.
+        A VM that has started again does not know what it has sent and lent before. It
+        waits until all of that lies outside of the window.
         """
         if anyio.current_time() < self._has_slack_from:
             return 0.0
--- a/tests/edge/test_retry_limiter.py
+++ b/tests/edge/test_retry_limiter.py
@@ -13,6 +13,7 @@
 from zinniastand_core.dispatch import messages, shards
 from zinniastand_proxy.edge import (
     datagrams,
+    loan_exchange,
     members,
     peer_link,
     ports,
@@ -182,6 +183,23 @@
     assert count_grants(await fleet.send_retries("vm-0", 5)) == 0
 
 
+async def test_slack_of_a_vm_that_started_again_begins_after_its_former_loans(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a slack that is used twice within a window: by those to which a VM
+    # had lent before it was killed, and by the VM itself.
+    started_at = anyio.current_time()
+    fleet = Fleet(1, is_new=False)
+    loans_end_at = started_at + loan_exchange.LOAN_LIFETIME_S
+    for at, is_granted in (
+        (loans_end_at + BUDGET.window - 0.1, False),
+        (loans_end_at + BUDGET.window + 0.1, True),
+    ):
+        monkeypatch.setattr(anyio, "current_time", lambda at=at: at)
+        answers = await fleet.send_retries("vm-0", 1, first_number=round(at))
+        assert (count_grants(answers) == 1) is is_granted
+
+
 @pytest.mark.parametrize(
     "outcome", [messages.Outcome.UNUSED, messages.Outcome.UNREACHABLE]
 )
