Discard the loans of waiting requests after a suspension

What could happen: a request that waited for a slot while its VM stood still is sent with a loan that its lender no longer counts. The steady clock does not count a suspension, so that the loan seems to be in time.

Cause: a suspension discarded the loans that were not in use, but not those of permits.

Change: permits keep no loan from before a discard. The new test fails before.

--- a/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_account.py
+++ b/packages/zinniastand-core/src/zinniastand_core/dispatch/retry_account.py
@@ -48,6 +48,8 @@
         self.ledger = ledger
         self._loans: list[Loan] = []
         self._lendings: dict[str, Spending] = {}
+        self.discard_count = 0
+        """How often loans were discarded, those of permits included."""
         self.borrowed = 0.0
         """Retries that other VMs have lent."""
         self.lent = 0.0
@@ -74,6 +76,11 @@
         loans, self._loans = self._loans, []
         return loans
 
+    def discard_loans(self) -> None:
+        """Discard all loans, also those of permits, since their ends are unknown."""
+        self._loans = []
+        self.discard_count += 1
+
     def lend(self, ticket: str, amount: float, lifetime: float, now: float) -> float:
         """Return how much of an amount another VM may send, and count it.
 
@@ -121,13 +128,14 @@
             own -= loan.amount
         own = max(0.0, own)
         if not self.ledger.reserve(own, now):
-            self._loans += loans
+            self.put_back(loans, self.discard_count)
             return None
         return Permit(self, own, loans)
 
-    def put_back(self, loans: list[Loan]) -> None:
-        """Add loans that were not used."""
-        self._loans += loans
+    def put_back(self, loans: list[Loan], discard_count: int) -> None:
+        """Add loans that were not used, if none were discarded since."""
+        if discard_count == self.discard_count:
+            self._loans += loans
 
 
 class Permit:
@@ -147,6 +155,7 @@
         self._account = account
         self._own = own
         self._loans = loans
+        self._discard_count = account.discard_count
 
     def use(self, now: float) -> Spending | None:
         """Count the retry as sent.
@@ -158,6 +167,8 @@
             because loans or requests have expired while it waited.
         """
         ledger = self._account.ledger
+        if self._discard_count != self._account.discard_count:
+            self._loans = []
         valid = sum(loan.amount for loan in self._loans if loan.usable_until > now)
         needed = max(0.0, 1.0 - valid)
         ledger.release(self._own)
@@ -171,5 +182,5 @@
         """Return what was not used."""
         self._account.ledger.release(self._own)
         self._own = 0.0
-        self._account.put_back(self._loans)
+        self._account.put_back(self._loans, self._discard_count)
         self._loans = []
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/retry_limiter.py
@@ -123,7 +123,7 @@
         """
         for service in self._services.values():
             service.account.ledger.discard_requests()
-            service.account.remove_loans()
+            service.account.discard_loans()
         self._starts_until = -math.inf
 
     async def acquire(
--- a/tests/dispatch/test_retry_account.py
+++ b/tests/dispatch/test_retry_account.py
@@ -46,6 +46,19 @@
     assert permit.use(NOW + 1.0) == retry_account.Spending(1.0, NOW + 1.0)
 
 
+def test_discarded_loan_of_a_waiting_request_is_not_used() -> None:
+    # Guards against retries sent after a suspension, when their lenders no longer count
+    # them: the end of a loan is then later than it seems.
+    account = make_account(0.75)
+    account.add_loan(make_loan(0.5))
+    permit = account.open_permit(NOW)
+    assert permit is not None
+    account.discard_loans()
+    assert permit.use(NOW) is None
+    permit.close()
+    assert account.find_missing(NOW) == 0.25
+
+
 def test_permit_that_is_not_used_frees_what_it_held() -> None:
     account = make_account(1.0)
     permit = account.open_permit(NOW)
