Let the VMs of the soak say that their fleet is new

VMs of the soak started as if their fleet had run before, with no part of the slack for a window, and sent few retries, counted or not.

Their settings now say at the first start that the fleet is new, and no longer after a restart.

--- a/soak/run.py
+++ b/soak/run.py
@@ -409,7 +409,7 @@
             link = links.Link(self._store_port)
             await self._group.start(link.serve)
             vm = vms.Vm(number, self._folder, self._program, link)
-            vm.write_settings()
+            vm.write_settings(is_new_fleet=True)
             vm.cut_targets("", ())
             self._vms.append(vm)
 
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -74,8 +74,8 @@
         self.peers_port = loopback.find_free_port()
         self.log_path = folder / f"vm-{number}.log"
 
-    def write_settings(self) -> None:
-        """Write the settings file."""
+    def write_settings(self, is_new_fleet: bool) -> None:
+        """Write the settings file; all VMs of a new fleet start together."""
         settings = {
             "vm": f"vm-{self.number}",
             "data_centre": "a",
@@ -86,6 +86,7 @@
             "store": f"{links.HOST}:{self.store_link.port}",
             "stop_limit_s": STOP_LIMIT_S,
             "unready_after_s": UNREADY_AFTER_S,
+            "is_new_fleet": is_new_fleet,
             "retries": {
                 "ratio": promises.RETRY_BOUND.ratio,
                 "slack": promises.RETRY_BOUND.slack,
@@ -133,6 +134,7 @@
     async def restart(self) -> None:
         """Start a new process after a delay, and wait until it is ready."""
         await anyio.sleep(RESTART_DELAY_S)
+        self.write_settings(is_new_fleet=False)
         await self.start()
         await self.wait_until_ready()
 
