Leave two targets that do not crash where requests must be served

Traced: from the 26th of 40 requests on all eight targets had crashed, and the other 14 could not be served by anyone ("connection refused", "no relay"); whether that happens before 30 answers depends on which targets get the requests.

Two targets are now left that do not crash.

--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -16,6 +16,11 @@
 reached at the same time."""
 
 
+SOUND_TARGETS = 2
+"""Targets that do not crash where all others may: without any, nothing can be served.
+"""
+
+
 async def start(site: edge_site.Site, *names: str) -> list[edge_site.Vm]:
     site.publish([edge_site.make_route(kind="safe")])
     for number in range(8):
@@ -82,7 +87,7 @@
                     for candidate in site.targets.values()
                     if not candidate.crash_scope.cancel_called
                 ]
-                for victim in victims[:2]:
+                for victim in victims[:-SOUND_TARGETS][:2]:
                     victim.crash_path = b"/same"
             answer = await edge_site.call(
                 vms[number % 2], "/same", f"r{number}", method="GET", body=b""
