--- a/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/edge/dispatch_reporter.py
@@ -58,7 +58,8 @@
             labels = metrics.label(service=service)
             for field in dataclasses.fields(totals):
                 name = f"zinniastand_retry_{field.name}"
-                self._counters.set_gauge(name, getattr(totals, field.name), labels)
+                value = round(getattr(totals, field.name), 1)
+                self._counters.set_gauge(name, value, labels)
 
 
 def report_ledgers(
