--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -147,11 +147,11 @@
     # Without a configuration a VM cannot know which paths exist: "not found" would be
     # wrong for a path that has a route.
     async with edge_site.run_site() as site:
+        await site.start_target(edge_site.Target("t1"))
         vm = await site.start_vm("vm-1")
         await anyio.sleep(0.3)
         assert (await edge_site.call(vm)).status_code == 503
         site.publish([edge_site.make_route("/known/")])
-        await site.start_target(edge_site.Target("t1"))
         await edge_site.wait_ready(vm)
         assert (await edge_site.call(vm, "/other")).status_code == 404
         assert (await edge_site.call(vm, "/known/x")).status_code == 200
