Tell other VMs which targets refuse requests because they leave

Cause: a VM knew of such a target only by a refusal of its own. No load is needed for it.

Change: the VM that is refused tells the fleet at its next tick, with the time at which the news ends; a VM that joins gets it with the list of members. VMs that know already do not relay it, so it ends everywhere at that time. `Connection: close` has other reasons as well, and stays with the VM that saw it, so that no target is avoided by all for it.

Evidence: test_vms_that_no_leaving_target_answered_send_it_nothing lets one VM alone be refused.

--- a/packages/zinniastand-core/src/zinniastand_core/control.py
+++ b/packages/zinniastand-core/src/zinniastand_core/control.py
@@ -12,6 +12,7 @@
     config_exchange,
     control_actions,
     evidence_exchange,
+    leaving_exchange,
     member_exchange,
     membership,
     peer_messages,
@@ -59,6 +60,7 @@
         self.evidence = evidence_exchange.EvidenceExchange(
             self.members, self.config.ejections, events, flood
         )
+        self.leaving_targets = leaving_exchange.LeavingExchange(events, flood)
 
     def tick(self, now: float) -> Actions:
         """Return the actions that are due; call about twice a second."""
@@ -69,6 +71,7 @@
                 self.config.next_offset, self.config.chain.version, now
             )
         actions += self._member_exchange.check_links(now)
+        actions += self.leaving_targets.report(now)
         actions += self.evidence.report(now)
         actions += self.evidence.announce_levels(now)
         actions += self.evidence.propose_ejections(now)
@@ -97,7 +100,8 @@
             case peer_messages.Sightings():
                 return self._member_exchange.apply_sightings(sender, message, now)
             case peer_messages.MembersRequest():
-                return self._member_exchange.answer_members(sender)
+                actions = self._member_exchange.answer_members(sender)
+                return actions + self.leaving_targets.answer(sender, now)
             case peer_messages.ConfigRequest():
                 return self._config_exchange.answer_request(sender, message, now)
             case peer_messages.ConfigEntries():
@@ -111,6 +115,8 @@
                 return []
             case peer_messages.SuspicionLevels():
                 return self.evidence.apply_levels(sender, message, now)
+            case peer_messages.TargetLeaving():
+                return self.leaving_targets.apply(sender, message, now)
             case _:
                 return []
 
--- a/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
+++ b/packages/zinniastand-core/src/zinniastand_core/peer_messages.py
@@ -153,6 +153,23 @@
     """Scores of the suspected targets."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """Announces that a target has refused a request because it is leaving."""
+
+    service: str
+    """Name of the service."""
+
+    target: str
+    """Name of the target."""
+
+    address: str
+    """``host:port`` of the target."""
+
+    until: float
+    """Unix seconds from which it may get work again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRequest:
     """Requests a claim from the VM that appends for its slice."""
@@ -196,6 +213,7 @@
     | ClaimResponse
     | SettleRequest
     | ConfigNotice
+    | TargetLeaving
 )
 
 
@@ -231,6 +249,9 @@
             fields = [11, message.data]
         case ConfigNotice():
             fields = [12, message.next_offset, message.version]
+        case TargetLeaving():
+            until = round(message.until * FIXED_POINT_SCALE)
+            fields = [13, message.service, message.target, message.address, until]
     return codec.encode(fields)
 
 
@@ -317,6 +338,8 @@
         case [8, str(service), str(pooled_by), int(sequence), list(items)]:
             levels = tuple(_read_level(item) for item in items)
             return SuspicionLevels(service, pooled_by, sequence, levels)
+        case [13, str(service), str(target), str(address), int(until)]:
+            return TargetLeaving(service, target, address, until / FIXED_POINT_SCALE)
         case _:
             return None
 
--- a/packages/zinniastand-core/src/zinniastand_core/router.py
+++ b/packages/zinniastand-core/src/zinniastand_core/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 import typing
 
@@ -54,6 +55,7 @@
         self._warm_at: dict[str, float] = {t.name: now for t in service.targets}
         self._shed_until: dict[str, float] = {}
         self._leaving_until: dict[str, float] = {}
+        self._untold_leaving: set[str] = set()
         self._ejected: set[str] = set()
         self._pooled: dict[str, tuple[float, float]] = {}
         self._weighted: tuple[float, list[steering.Weighted]] | None = None
@@ -148,7 +150,11 @@
         """Return whether a target may get new work."""
         if target.draining or target.name in self._ejected:
             return False
-        return self._leaving_until.get(target.name, 0.0) <= now
+        return not self.is_leaving(target.name, now)
+
+    def is_leaving(self, target: str, now: float) -> bool:
+        """Return whether a target has announced lately that it is leaving."""
+        return self._leaving_until.get(target, 0.0) > now
 
     def find_level(self, target: str, now: float) -> float:
         """Return the higher of a target's own score on this VM and its pooled score."""
@@ -187,14 +193,28 @@
             self._weighted = None
         self._ejected = set(ejected)
 
-    def mark_leaving(self, target: str, now: float) -> None:
-        """Send no new work to a target for `LEAVING_DURATION_S`.
+    def mark_leaving(self, target: str, now: float, until: float = math.inf) -> None:
+        """Send no new work to a target for `LEAVING_DURATION_S`, or until sooner.
 
         The target itself, or the VM list, has announced that it is leaving.
         """
-        self._leaving_until[target] = now + LEAVING_DURATION_S
+        self._leaving_until[target] = min(until, now + LEAVING_DURATION_S)
         self._weighted = None
 
+    def record_leaving(self, target: str, now: float) -> None:
+        """Record that a target has refused a request of this VM because it is leaving.
+
+        Other VMs have yet to be told.
+        """
+        if not self.is_leaving(target, now):
+            self._untold_leaving.add(target)
+        self.mark_leaving(target, now)
+
+    def take_leaving(self) -> list[services.Target]:
+        """Return the leaving targets of which other VMs have yet to be told."""
+        names, self._untold_leaving = self._untold_leaving, set()
+        return [target for target in self.service.targets if target.name in names]
+
     def record_start(self, target: str, is_first: bool) -> None:
         """Record that an attempt was sent.
 
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/conductor.py
@@ -276,7 +276,8 @@
     ) -> None:
         name, kind = send.target.name, self._kind.name
         if result.is_leaving:
-            self._record_leaving(name, now)
+            is_refused = result.failure is attempt_actions.Failure.REFUSED
+            self._record_leaving(name, is_refused, now)
         if result.answer is not None:
             was_recorded_overdue = send.attempt in self._recorded_overdue
             self._record_answer(
@@ -317,8 +318,15 @@
             self._routing.observe(name, kind, sign, now)
         self._routing.admission.raise_limit()
 
-    def _record_leaving(self, name: str, now: float) -> None:
-        self._routing.mark_leaving(name, now)
+    def _record_leaving(self, name: str, is_refused: bool, now: float) -> None:
+        """Record that a target is leaving; other VMs are told if it has refused work.
+
+        A target that only closes a connection may do so for another reason.
+        """
+        if is_refused:
+            self._routing.record_leaving(name, now)
+        else:
+            self._routing.mark_leaving(name, now)
         self._record_event(timeline.EventKind.TARGET_LEAVING, name, "it said so", now)
 
     def _record_event(
--- a/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
+++ b/packages/zinniastand-proxy/src/zinniastand_proxy/fleet.py
@@ -227,6 +227,7 @@
         now = self._timer.now()
         self._table.apply_bundle(self._core.config.chain.bundle, now)
         self._core.evidence.use_routers(self._table.routers)
+        self._core.leaving_targets.use_routers(self._table.routers)
         self._core.evidence.apply_ejections(now)
 
     async def _append_config(self, data: bytes) -> None:
--- a/tests/core/test_hostile_input.py
+++ b/tests/core/test_hostile_input.py
@@ -36,7 +36,7 @@
     peer_messages.decode(data)
 
 
-@hypothesis.given(st.integers(1, 12), st.lists(VALUES, max_size=8))
+@hypothesis.given(st.integers(1, 13), st.lists(VALUES, max_size=8))
 def test_decodes_arbitrary_fields_after_a_message_kind(
     kind: int, fields: list[object]
 ) -> None:
--- a/tests/proxy/test_whole_path.py
+++ b/tests/proxy/test_whole_path.py
@@ -66,6 +66,16 @@
             await anyio.sleep(0.02)
 
 
+async def wait_members(
+    client: httpx.AsyncClient, proxy_daemon: daemon.Daemon, count: int
+) -> None:
+    """Wait until a daemon knows `count` VMs, itself included."""
+    url = f"http://127.0.0.1:{proxy_daemon.admin_port}/fleet"
+    with anyio.fail_after(20):
+        while len((await client.get(url)).json()["members"]) < count:
+            await anyio.sleep(0.02)
+
+
 def url_of(proxy_daemon: daemon.Daemon, path: str) -> str:
     """Return the URL of a path on a daemon's listener for callers."""
     return f"http://127.0.0.1:{proxy_daemon.caller_port}{path}"
@@ -192,6 +202,23 @@
         assert len(leaving.received_at) == before
 
 
+async def test_vms_that_no_leaving_target_answered_send_it_nothing() -> None:
+    # Guards against each VM finding out by a request of its own that a target leaves.
+    async with run_site(2) as (running_site, client):
+        for proxy_daemon in running_site.daemons.values():
+            await wait_members(client, proxy_daemon, 2)
+        leaving = running_site.targets["desk-2"]
+        leaving.is_leaving = True
+        url = url_of(running_site.daemons["vm-1"], "/items/1")
+        with anyio.fail_after(20):
+            while not leaving.received_at:
+                assert (await client.get(url)).status_code == 200
+        await anyio.sleep(3.0)
+        before = len(leaving.received_at)
+        assert await send_lookups(running_site, client, 40) == {200}
+        assert len(leaving.received_at) == before
+
+
 async def send_lookups(
     running_site: site.Site, client: httpx.AsyncClient, count: int
 ) -> set[int]:
