Wait until VMs agree on a dispatcher before a test kills it

test_dispatcher_that_dies_costs_no_request failed once beside lint and type checks; its output had not been kept.

Cause: the test took 2.3 s for enough until all VMs ask the same dispatcher, 0.3 s more than the time in which a VM settles. A pause of the process between their starts makes them settle apart, and until then they may differ, as docs of `members` say.

Change: the test waits until all agree; what it checks after the kill, and that every request is served, is as before.

--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -11,6 +11,7 @@
 import pytest
 
 from zinniastand_platform import encoding
+from zinniastand_proxy.edge import members
 
 pytestmark = pytest.mark.anyio
 
@@ -223,12 +224,16 @@
         for name in ("t1", "t2"):
             await site.start_target(edge_site.Target(name))
         vms = await start(site, *(f"vm-{n}" for n in range(4)))
-        await anyio.sleep(2.3)
+
+        def list_dispatchers() -> set[str]:
+            return {vm.daemon.find_dispatcher("desk") for vm in vms}
+
+        await anyio.sleep(members.SETTLE_TIME_S)
+        # VMs that settle at different times differ in whom they ask until all have.
+        await edge_site.wait_until(lambda: len(list_dispatchers()) == 1)
         for vm in vms:
             assert (await edge_site.call(vm)).status_code == 200
-        dispatchers = {vm.daemon.find_dispatcher("desk") for vm in vms}
-        assert len(dispatchers) == 1
-        [victim] = [vm for vm in vms if vm.settings.vm in dispatchers]
+        [victim] = [vm for vm in vms if vm.settings.vm in list_dispatchers()]
         victim.daemon.kill()
         rest = [vm for vm in vms if vm is not victim]
         for vm in rest:
