Kill the dispatcher at the moment at which VMs agree on it

Cause: the test waited for agreement, sent its first requests, and only then looked for the dispatcher; a stop in between made the VMs differ again.

Change: the first requests are sent before, and nothing is awaited between the agreement and the kill.

--- a/tests/edge/test_edge_daemon.py
+++ b/tests/edge/test_edge_daemon.py
@@ -229,10 +229,10 @@
             return {vm.daemon.find_dispatcher("desk") for vm in vms}
 
         await anyio.sleep(members.SETTLE_TIME_S)
-        # VMs that settle at different times differ in whom they ask until all have.
-        await edge_site.wait_until(lambda: len(list_dispatchers()) == 1)
         for vm in vms:
             assert (await edge_site.call(vm)).status_code == 200
+        # VMs that settle at different times differ in whom they ask until all have.
+        await edge_site.wait_until(lambda: len(list_dispatchers()) == 1)
         [victim] = [vm for vm in vms if vm.settings.vm in list_dispatchers()]
         victim.daemon.kill()
         rest = [vm for vm in vms if vm is not victim]
