--- a/review/3/case.py
+++ b/review/3/case.py
@@ -78,8 +78,8 @@
     ),
 )
 SLOTS = 3
-STOPS = ((0, 1), (1, 2), (2, 0), (0, 1), (1, 2))
-CALM_S = 4.0
+STOPS = ((0, 1), (1, 2), (2, 0), (0, 1), (1, 2), (2, 0), (0, 1))
+CALM_S = 3.2
 EXIT_TIMEOUT_S = 8.0
 RESTART_DELAY_S = 0.3
 CHECK_INTERVAL_S = 1.0
@@ -291,4 +291,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(FOLDER, play))
+    sys.exit(standins.run_case(FOLDER, play, limit_s=112.0))
--- a/review/standins.py
+++ b/review/standins.py
@@ -552,6 +552,8 @@
     async def _limited() -> bool:
         return await asyncio.wait_for(_play(), limit_s)
 
+    # Also after SIGTERM, the processes that the case has started are ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         is_broken = asyncio.run(_limited())
     except Exception as error:
