Exit with 2 where a case of the second review could not run, and complete its report

Looked for: exit codes that say more than a run showed. An unexpected error of a case ended Python with 1, which stands for a broken rule.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -673,7 +673,8 @@
 
     try:
         result = asyncio.run(_run())
-    except OSError as error:
+    except Exception as error:
+        # Python would exit with 1, which says that the rule was broken.
         record.add(f"the case could not run: {error!r}", is_shown=True)
         result = EXIT_NOT_RUN
     record.close()
