--- a/review/5/case.py
+++ b/review/tried-2/slow_readers/case.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
 import standins_2 as standins
 
